--- /dev/null
+++ b/internal/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger carries messages between instances as JSON-RPC 2.0 over TCP.
+package messenger
--- /dev/null
+++ b/internal/messenger/message.go
@@ -0,0 +1,101 @@
+package messenger
+
+import (
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+	"bergamothollow.example/bergamothollow/pkg/tracker"
+)
+
+// The methods between instances.
+const (
+	MethodHeartbeat      = "heartbeat"
+	MethodReserve        = "reserve"
+	MethodRelease        = "release"
+	MethodFetchBundle    = "fetch_bundle"
+	MethodFetchDeparture = "fetch_departure"
+)
+
+// Heartbeat is sent once a second to each peer of the cell and answered in kind.
+type Heartbeat struct {
+	Sender           namer.Holder     `json:"sender"`
+	State            tracker.State    `json:"state"`
+	DataCentre       namer.DataCentre `json:"data_centre"`
+	CallerAddress    string           `json:"caller_address"`
+	BundleSequence   int64            `json:"bundle_sequence"`
+	DepartureVersion int64            `json:"departure_version"`
+	TableVersion     int64            `json:"table_version"`
+	// StoreAgeMS is the time since the sender last heard the store; negative means never.
+	StoreAgeMS int64           `json:"store_age_ms"`
+	Number     int64           `json:"number"`
+	Heard      []tracker.Heard `json:"heard,omitempty"`
+	Targets    []TargetSummary `json:"targets,omitempty"`
+	Quotas     []Quota         `json:"quotas,omitempty"`
+	Demand     []Demand        `json:"demand,omitempty"`
+}
+
+// TargetSummary is the load of one target as its owner sees it.
+type TargetSummary struct {
+	Target       namer.Target `json:"target"`
+	Epoch        namer.Epoch  `json:"epoch"`
+	FreeTokens   int          `json:"free_tokens"`
+	QueueTokens  int          `json:"queue_tokens"`
+	WarmPercent  int          `json:"warm_percent"`
+	LongPrefills int          `json:"long_prefills"`
+}
+
+// Quota is what an owner allocates to the receiver.
+type Quota struct {
+	Target        namer.Target `json:"target"`
+	Epoch         namer.Epoch  `json:"epoch"`
+	MemoryTokens  int          `json:"memory_tokens"`
+	PrefillTokens int          `json:"prefill_tokens"`
+	ValidMS       int64        `json:"valid_ms"`
+}
+
+// Demand tells an owner what the sender uses and would use.
+type Demand struct {
+	Target       namer.Target `json:"target"`
+	UsedTokens   int          `json:"used_tokens"`
+	WantedTokens int          `json:"wanted_tokens"`
+}
+
+// ReserveRequest asks an owner for a one-off reservation.
+type ReserveRequest struct {
+	Sender        namer.Holder  `json:"sender"`
+	Target        namer.Target  `json:"target"`
+	Epoch         namer.Epoch   `json:"epoch"`
+	Request       namer.Request `json:"request_id"`
+	Tokens        int           `json:"tokens"`
+	PrefillTokens int           `json:"prefill_tokens"`
+	WaitMS        int64         `json:"wait_ms"`
+}
+
+// ReserveAnswer grants a reservation or says why not.
+type ReserveAnswer struct {
+	Granted bool           `json:"granted"`
+	Epoch   namer.Epoch    `json:"epoch"`
+	Reason  refuser.Reason `json:"reason,omitempty"`
+}
+
+// ReleaseRequest gives a reservation back.
+type ReleaseRequest struct {
+	Sender  namer.Holder  `json:"sender"`
+	Target  namer.Target  `json:"target"`
+	Request namer.Request `json:"request_id"`
+}
+
+// FetchBundleRequest asks a peer for its bundle in force.
+type FetchBundleRequest struct {
+	Sequence int64 `json:"sequence"`
+}
+
+// FetchDepartureRequest asks a peer for its departures.
+type FetchDepartureRequest struct {
+	Version int64 `json:"version"`
+}
+
+// FetchDepartureAnswer carries the departures at a version of the store.
+type FetchDepartureAnswer struct {
+	Version   int64             `json:"version"`
+	Departure tracker.Departure `json:"departure"`
+}
--- /dev/null
+++ b/pkg/namer/doc.go
@@ -0,0 +1,2 @@
+// Package namer defines the identifier types shared by all packages.
+package namer
--- /dev/null
+++ b/pkg/roller/bundle.go
@@ -0,0 +1,83 @@
+package roller
+
+import (
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// Bundle is the versioned set of customers, services, models, rules and orders.
+type Bundle struct {
+	Sequence  int64                         `json:"sequence" yaml:"sequence"`
+	Author    string                        `json:"author" yaml:"author"`
+	Note      string                        `json:"note" yaml:"note"`
+	Customers map[namer.Customer]Customer   `json:"customers" yaml:"customers"`
+	Models    map[namer.Model]Model         `json:"models" yaml:"models"`
+	Services  map[namer.Service]ServiceRule `json:"services" yaml:"services"`
+	Rules     Rules                         `json:"rules" yaml:"rules"`
+	Orders    map[namer.Target][]Order      `json:"orders" yaml:"orders"`
+}
+
+// Customer holds the limits of one customer over all instances.
+type Customer struct {
+	Weight            float64 `json:"weight" yaml:"weight"`
+	RequestsPerSecond float64 `json:"requests_per_second" yaml:"requests_per_second"`
+	Concurrency       int     `json:"concurrency" yaml:"concurrency"`
+}
+
+// Model holds the rules of one model.
+type Model struct {
+	MaxPromptTokens int `json:"max_prompt_tokens" yaml:"max_prompt_tokens"`
+	MaxOutputTokens int `json:"max_output_tokens" yaml:"max_output_tokens"`
+}
+
+// ServiceRule holds the calls of one plain service.
+type ServiceRule struct {
+	Calls map[string]Call `json:"calls" yaml:"calls"`
+}
+
+// Call tells whether one call of a service may be repeated.
+type Call struct {
+	Repeatable bool `json:"repeatable" yaml:"repeatable"`
+}
+
+// Rules apply to all customers.
+type Rules struct {
+	DefaultDeadline time.Duration `json:"default_deadline" yaml:"default_deadline"`
+	MaxDeadline     time.Duration `json:"max_deadline" yaml:"max_deadline"`
+}
+
+// OrderKind names what an engine is asked to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoadModel   OrderKind = "load_model"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderLoadVersion OrderKind = "load_version"
+	OrderChangeRole  OrderKind = "change_role"
+)
+
+// Order is one wanted state of a target.
+type Order struct {
+	Kind OrderKind `json:"kind" yaml:"kind"`
+	Name string    `json:"name" yaml:"name"`
+}
+
+// Signed is a bundle as stored and sent: its canonical bytes and who signed them.
+type Signed struct {
+	// Content is the canonical JSON of the bundle.
+	Content   []byte `json:"content"`
+	Sequence  int64  `json:"sequence"`
+	Digest    string `json:"digest"`
+	Author    string `json:"author"`
+	Approver  string `json:"approver"`
+	Signature []byte `json:"signature"`
+}
+
+// Pointer names the bundle in force.
+type Pointer struct {
+	Sequence int64  `json:"sequence"`
+	Digest   string `json:"digest"`
+	RolledBy string `json:"rolled_by"`
+}
--- /dev/null
+++ b/pkg/storer/object.go
@@ -0,0 +1,149 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// Kind names one kind of object.
+type Kind string
+
+// The kinds of objects that the system keeps.
+const (
+	KindMember        Kind = "member"
+	KindCell          Kind = "cell"
+	KindTarget        Kind = "target"
+	KindDeparture     Kind = "departure"
+	KindBundle        Kind = "bundle"
+	KindBundlePointer Kind = "bundle_pointer"
+	KindCall          Kind = "call"
+	KindRefusal       Kind = "refusal"
+)
+
+// CurrentName is the name of objects of which there is only one of a kind.
+const CurrentName = "current"
+
+// Object is one versioned value.
+type Object struct {
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// EventType tells a put from a delete.
+type EventType string
+
+// The types of events.
+const (
+	EventPut    EventType = "put"
+	EventDelete EventType = "delete"
+)
+
+// Event is one change seen by a watch.
+type Event struct {
+	Type   EventType `json:"type"`
+	Object Object    `json:"object"`
+}
+
+// Listing is a page of objects at a version of the store.
+type Listing struct {
+	Items   []Object `json:"items"`
+	Version int64    `json:"version"`
+}
+
+// Changes is what a watch answered.
+type Changes struct {
+	Events  []Event `json:"events"`
+	Version int64   `json:"version"`
+}
+
+// InstanceState is the state of an instance in the platform's list.
+type InstanceState string
+
+// The states in the platform's list.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// ListedInstance is one entry of the platform's lagging list of instances.
+type ListedInstance struct {
+	Instance namer.Instance `json:"instance"`
+	State    InstanceState  `json:"state"`
+}
+
+// Store is the platform's object API; a single call, with no retry.
+type Store interface {
+	Get(ctx context.Context, kind Kind, name string) (Object, error)
+	// Create writes the value if no object has the name.
+	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error)
+	// Update writes the value if the object still has the version.
+	Update(ctx context.Context, kind Kind, name string, version int64, value json.RawMessage) (int64, error)
+	Delete(ctx context.Context, kind Kind, name string, version int64) error
+	List(ctx context.Context, kind Kind, prefix, after string, limit int) (Listing, error)
+	Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error)
+	Instances(ctx context.Context) ([]ListedInstance, error)
+}
+
+// NotFoundError means that no object has the name.
+type NotFoundError struct {
+	Kind Kind
+	Name string
+}
+
+// Error describes the missing object.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("no %s named %q", e.Kind, e.Name)
+}
+
+// ConflictError means that the object is not at the expected version.
+type ConflictError struct {
+	Kind    Kind
+	Name    string
+	Current Object
+}
+
+// Error describes the conflict.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %q was changed by somebody else (now version %d): read it and try again", e.Kind, e.Name, e.Current.Version)
+}
+
+// UnavailableError means that the store answered with an error or not at all; a write may have taken effect.
+type UnavailableError struct {
+	// Sent tells whether the call may have reached the store.
+	Sent  bool
+	Cause error
+}
+
+// Error describes the failed call.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("the platform's store did not answer: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error {
+	return e.Cause
+}
+
+// CompactedError means that a watch asked for history that is gone: list again.
+type CompactedError struct {
+	After int64
+}
+
+// Error describes the gap.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("history after version %d is gone: list again", e.After)
+}
+
+// ThrottledError means that the store refused the call because of its rate limit; the call did not take effect.
+type ThrottledError struct{}
+
+// Error describes the limit.
+func (e *ThrottledError) Error() string {
+	return "the platform's store refused the call: rate limit"
+}
