--- /dev/null
+++ b/pkg/storer/http.go
@@ -0,0 +1,235 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// watchSlack is added to a watch's own wait before its call counts as failed.
+	watchSlack = 2 * time.Second
+)
+
+// HTTP calls the platform's object API; it implements Store.
+type HTTP struct {
+	base    string
+	timeout time.Duration
+	client  *client.Client
+}
+
+// NewHTTP returns a client of the object API at address (host:port); each call but a watch ends within timeout.
+func NewHTTP(address string, timeout time.Duration) (*HTTP, error) {
+	c, err := client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(64),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTP{
+		base:    "http://" + address,
+		timeout: timeout,
+		client:  c,
+	}, nil
+}
+
+// Get reads one object.
+func (h *HTTP) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var object Object
+	err := h.call(ctx, call{
+		method: http.MethodGet,
+		path:   objectPath(kind, name),
+		kind:   kind,
+		name:   name,
+	}, &object)
+	return object, err
+}
+
+// Create writes the value if no object has the name.
+func (h *HTTP) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error) {
+	return h.put(ctx, kind, name, "If-None-Match", "*", value)
+}
+
+// Update writes the value if the object still has the version.
+func (h *HTTP) Update(ctx context.Context, kind Kind, name string, version int64, value json.RawMessage) (int64, error) {
+	return h.put(ctx, kind, name, "If-Match", strconv.FormatInt(version, 10), value)
+}
+
+// Delete removes the object if it still has the version.
+func (h *HTTP) Delete(ctx context.Context, kind Kind, name string, version int64) error {
+	return h.call(ctx, call{
+		method:         http.MethodDelete,
+		path:           objectPath(kind, name),
+		kind:           kind,
+		name:           name,
+		condition:      "If-Match",
+		conditionValue: strconv.FormatInt(version, 10),
+	}, nil)
+}
+
+// List reads a page of objects whose names start with prefix and sort after the name.
+func (h *HTTP) List(ctx context.Context, kind Kind, prefix, after string, limit int) (Listing, error) {
+	query := url.Values{}
+	query.Set("prefix", prefix)
+	query.Set("after", after)
+	query.Set("limit", strconv.Itoa(limit))
+	var listing Listing
+	err := h.call(ctx, call{
+		method: http.MethodGet,
+		path:   "/v1/objects/" + url.PathEscape(string(kind)) + "?" + query.Encode(),
+		kind:   kind,
+	}, &listing)
+	return listing, err
+}
+
+// Watch waits for changes of a kind after a version.
+func (h *HTTP) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatInt(after, 10))
+	query.Set("timeout_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var changes Changes
+	err := h.call(ctx, call{
+		method:  http.MethodGet,
+		path:    "/v1/watch/" + url.PathEscape(string(kind)) + "?" + query.Encode(),
+		kind:    kind,
+		after:   after,
+		timeout: wait + watchSlack,
+	}, &changes)
+	return changes, err
+}
+
+// Instances reads the platform's lagging list of instances.
+func (h *HTTP) Instances(ctx context.Context) ([]ListedInstance, error) {
+	var answer struct {
+		Instances []ListedInstance `json:"instances"`
+	}
+	err := h.call(ctx, call{
+		method: http.MethodGet,
+		path:   "/v1/instances",
+	}, &answer)
+	return answer.Instances, err
+}
+
+type call struct {
+	method         string
+	path           string
+	kind           Kind
+	name           string
+	after          int64
+	condition      string
+	conditionValue string
+	body           json.RawMessage
+	timeout        time.Duration
+}
+
+func (h *HTTP) put(ctx context.Context, kind Kind, name, condition, value string, body json.RawMessage) (int64, error) {
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	err := h.call(ctx, call{
+		method:         http.MethodPut,
+		path:           objectPath(kind, name),
+		kind:           kind,
+		name:           name,
+		condition:      condition,
+		conditionValue: value,
+		body:           body,
+	}, &answer)
+	return answer.Version, err
+}
+
+func (h *HTTP) call(ctx context.Context, c call, answer any) error {
+	req := protocol.AcquireRequest()
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(c.method)
+	req.SetRequestURI(h.base + c.path)
+	if c.condition != "" {
+		req.Header.Set(c.condition, c.conditionValue)
+	}
+	if c.body != nil {
+		req.Header.SetContentTypeBytes([]byte("application/json"))
+		req.SetBody(c.body)
+	}
+	timeout := h.timeout
+	if c.timeout > 0 {
+		timeout = c.timeout
+	}
+	deadline := time.Now().Add(timeout)
+	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	if err := h.client.DoDeadline(ctx, req, resp, deadline); err != nil {
+		return &UnavailableError{
+			Sent:  !isDialError(err),
+			Cause: err,
+		}
+	}
+	return readAnswer(c, resp, answer)
+}
+
+// isDialError reports whether the connection could not be opened, so that no byte left.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func readAnswer(c call, resp *protocol.Response, answer any) error {
+	switch status := resp.StatusCode(); status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return decode(resp.Body(), answer)
+	case http.StatusNotFound:
+		return &NotFoundError{
+			Kind: c.kind,
+			Name: c.name,
+		}
+	case http.StatusPreconditionFailed:
+		conflict := &ConflictError{
+			Kind: c.kind,
+			Name: c.name,
+		}
+		// A conflict with an object that no longer exists has no body to decode.
+		_ = json.Unmarshal(resp.Body(), &conflict.Current)
+		return conflict
+	case http.StatusGone:
+		return &CompactedError{
+			After: c.after,
+		}
+	case http.StatusTooManyRequests:
+		return &ThrottledError{}
+	default:
+		return &UnavailableError{
+			Sent:  true,
+			Cause: fmt.Errorf("status %d", status),
+		}
+	}
+}
+
+func decode(body []byte, answer any) error {
+	if answer == nil || len(body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return &UnavailableError{
+			Sent:  true,
+			Cause: err,
+		}
+	}
+	return nil
+}
+
+func objectPath(kind Kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
