--- /dev/null
+++ b/internal/controller/request.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"strconv"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+)
+
+// Request is one completion asked for by a caller.
+type Request struct {
+	ID           namer.Request
+	Customer     namer.Customer
+	Model        namer.Model
+	Prompt       string
+	PromptTokens int
+	MaxTokens    int
+	ResumeFrom   int
+	Stream       bool
+	Prefix       []string
+	Received     time.Time
+	// Patience is how long the caller waits; zero means the bundle's default.
+	Patience time.Duration
+	// Deadline is set at admission.
+	Deadline time.Time
+	// Attempts counts the placements so far.
+	Attempts int
+}
+
+// Part is one target that a placement holds memory on.
+type Part struct {
+	Target  namer.Target
+	Address string
+	Epoch   namer.Epoch
+	Tokens  int
+}
+
+// Placement is one attempt of a request at one target, or at several for a prompt over one target's memory.
+type Placement struct {
+	Attempt  string
+	Parts    []Part
+	Priority int
+	Class    string
+	Holder   string
+	// FirstTokenWithin and TokenWithin bound the silence of the stream before and after the first token.
+	FirstTokenWithin time.Duration
+	TokenWithin      time.Duration
+}
+
+// PartID is the request id under which the target of a part knows the attempt.
+func (p *Placement) PartID(part int) string {
+	if part == 0 {
+		return p.Attempt
+	}
+	return p.Attempt + ".part" + strconv.Itoa(part)
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Finished Outcome = iota
+	Aborted
+)
+
+// Failure describes an attempt that is to be followed by another.
+type Failure struct {
+	Placement *Placement
+	Reason    refuser.RetryReason
+	// Next is the index of the token that the caller needs next.
+	Next  int
+	Cause error
+}
+
+// Address is one instance that a caller may use.
+type Address struct {
+	Instance   namer.Instance   `json:"instance"`
+	Address    string           `json:"address"`
+	DataCentre namer.DataCentre `json:"data_centre"`
+}
+
+// AddressAnswer tells a caller which instances to use and for how long to keep the answer.
+type AddressAnswer struct {
+	Addresses  []Address `json:"addresses"`
+	ValidForMS int64     `json:"valid_for_ms"`
+}
+
+// CallTarget is a plain service's target.
+type CallTarget struct {
+	Target  namer.Target
+	Address string
+}
--- /dev/null
+++ b/internal/messenger/listener.go
@@ -0,0 +1,126 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"bergamothollow.example/bergamothollow/pkg/roller"
+)
+
+// Handler answers the messages of peers.
+type Handler interface {
+	Heartbeat(ctx context.Context, message Heartbeat) (Heartbeat, error)
+	Reserve(ctx context.Context, message ReserveRequest) (ReserveAnswer, error)
+	Release(ctx context.Context, message ReleaseRequest) error
+	FetchBundle(ctx context.Context, message FetchBundleRequest) (roller.Signed, error)
+	FetchDeparture(ctx context.Context, message FetchDepartureRequest) (FetchDepartureAnswer, error)
+}
+
+// Traffic counts the bytes that messages between instances took.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Serve answers peers on the listener until it is closed.
+func Serve(ctx context.Context, listener net.Listener, handler Handler, traffic *Traffic) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept peers on %s: %w", listener.Addr(), err)
+		}
+		accept(ctx, conn, handler, traffic)
+	}
+}
+
+func accept(ctx context.Context, conn net.Conn, handler Handler, traffic *Traffic) {
+	answer := func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+		return dispatch(ctx, handler, request)
+	}
+	jsonrpc2.NewConn(
+		ctx,
+		newStream(conn, traffic),
+		jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(answer).SuppressErrClosed()),
+		jsonrpc2.SetLogger(discard{}),
+	)
+}
+
+func newStream(conn net.Conn, traffic *Traffic) jsonrpc2.ObjectStream {
+	counted := countedConn{
+		Conn:    conn,
+		traffic: traffic,
+	}
+	// The varint codec has the shortest frame header of the library's codecs.
+	return jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{})
+}
+
+func dispatch(ctx context.Context, handler Handler, request *jsonrpc2.Request) (any, error) {
+	switch request.Method {
+	case MethodHeartbeat:
+		return answerWith(ctx, request, handler.Heartbeat)
+	case MethodReserve:
+		return answerWith(ctx, request, handler.Reserve)
+	case MethodRelease:
+		return answerWith(ctx, request, func(ctx context.Context, message ReleaseRequest) (bool, error) {
+			return true, handler.Release(ctx, message)
+		})
+	case MethodFetchBundle:
+		return answerWith(ctx, request, handler.FetchBundle)
+	case MethodFetchDeparture:
+		return answerWith(ctx, request, handler.FetchDeparture)
+	default:
+		return nil, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeMethodNotFound,
+			Message: "unknown method " + request.Method,
+		}
+	}
+}
+
+func answerWith[M, A any](ctx context.Context, request *jsonrpc2.Request, handle func(context.Context, M) (A, error)) (any, error) {
+	var message M
+	if request.Params == nil {
+		return nil, invalidParams(request.Method, "no parameters")
+	}
+	if err := json.Unmarshal(*request.Params, &message); err != nil {
+		return nil, invalidParams(request.Method, err.Error())
+	}
+	return handle(ctx, message)
+}
+
+func invalidParams(method, problem string) *jsonrpc2.Error {
+	return &jsonrpc2.Error{
+		Code:    jsonrpc2.CodeInvalidParams,
+		Message: method + ": " + problem,
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
+
+// discard drops the library's own log lines: a broken peer connection is reported by the caller.
+type discard struct{}
+
+// Printf drops the line.
+func (discard) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/server/request.go
@@ -0,0 +1,192 @@
+package server
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"bergamothollow.example/bergamothollow/internal/controller"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+)
+
+// The headers of callers.
+const (
+	HeaderCustomer       = "Bergamothollow-Customer"
+	HeaderDeadline       = "Bergamothollow-Deadline"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderReplayed       = "Bergamothollow-Replayed"
+)
+
+const (
+	// prefixBlockTokens is the number of tokens in one block of a prompt's prefix hashes.
+	prefixBlockTokens = 512
+	// maxPrefixBlocks bounds the hashes sent with a request; a longer shared prefix is matched by its first blocks.
+	maxPrefixBlocks = 64
+	// bodyTimeout bounds the time in which a caller must send a whole body.
+	bodyTimeout       = 30 * time.Second
+	defaultMaxTokens  = 256
+	maxRequestIDBytes = 128
+)
+
+type completionBody struct {
+	Model        namer.Model   `json:"model"`
+	Prompt       string        `json:"prompt"`
+	MaxTokens    int           `json:"max_tokens"`
+	Stream       bool          `json:"stream"`
+	PromptTokens *int          `json:"prompt_tokens"`
+	RequestID    namer.Request `json:"request_id"`
+	ResumeFrom   int           `json:"resume_from"`
+}
+
+// readBody reads a body of at most limit bytes within the time for bodies.
+func readBody(c *app.RequestContext, limit int, now func() time.Time) ([]byte, error) {
+	source := c.RequestBodyStream()
+	if source == nil {
+		return nil, malformed("the body is missing: send a JSON object")
+	}
+	var body bytes.Buffer
+	if declared := c.Request.Header.ContentLength(); declared > limit {
+		return nil, tooLarge(limit)
+	} else if declared > 0 {
+		body.Grow(declared)
+	}
+	until := now().Add(bodyTimeout)
+	chunk := make([]byte, 64<<10)
+	for {
+		n, err := source.Read(chunk)
+		body.Write(chunk[:n])
+		switch {
+		case body.Len() > limit:
+			return nil, tooLarge(limit)
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, malformed("the body ended early: " + err.Error())
+		case now().After(until):
+			return nil, malformed(fmt.Sprintf("the body did not end within %s", bodyTimeout))
+		}
+	}
+}
+
+func parseCompletion(c *app.RequestContext, body []byte, now time.Time, newID func() namer.Request) (*controller.Request, error) {
+	var parsed completionBody
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&parsed); err != nil {
+		return nil, malformed("the body is not the JSON of a completion: " + err.Error())
+	}
+	if err := checkCompletion(parsed); err != nil {
+		return nil, err
+	}
+	words := strings.Fields(parsed.Prompt)
+	tokens := len(words)
+	if parsed.PromptTokens != nil {
+		if *parsed.PromptTokens < tokens {
+			return nil, &refuser.Refusal{
+				Reason:  refuser.PromptUndercounted,
+				Ran:     refuser.RanNo,
+				Message: fmt.Sprintf("prompt_tokens says %d but the prompt has %d: correct it or leave it out", *parsed.PromptTokens, tokens),
+			}
+		}
+		tokens = *parsed.PromptTokens
+	}
+	request := &controller.Request{
+		ID:           parsed.RequestID,
+		Customer:     namer.Customer(c.Request.Header.Get(HeaderCustomer)),
+		Model:        parsed.Model,
+		Prompt:       parsed.Prompt,
+		PromptTokens: tokens,
+		MaxTokens:    parsed.MaxTokens,
+		ResumeFrom:   parsed.ResumeFrom,
+		Stream:       parsed.Stream,
+		Received:     now,
+		Prefix:       prefixHashes(words),
+	}
+	if request.ID == "" {
+		request.ID = newID()
+	}
+	if request.MaxTokens == 0 {
+		request.MaxTokens = defaultMaxTokens
+	}
+	patience, err := parseDeadline(c)
+	request.Patience = patience
+	return request, err
+}
+
+func checkCompletion(body completionBody) error {
+	switch {
+	case body.Model == "":
+		return malformed("model is missing")
+	case strings.TrimSpace(body.Prompt) == "":
+		return malformed("prompt is missing")
+	case body.MaxTokens < 0:
+		return malformed("max_tokens must not be negative")
+	case body.ResumeFrom < 0:
+		return malformed("resume_from must not be negative")
+	case len(body.RequestID) > maxRequestIDBytes:
+		return malformed(fmt.Sprintf("request_id must be at most %d bytes", maxRequestIDBytes))
+	case strings.ContainsAny(string(body.RequestID), "/ \r\n\t"):
+		return malformed("request_id must not contain white space or a slash")
+	}
+	return nil
+}
+
+// parseDeadline reads how long the caller waits; zero means the default of the bundle.
+func parseDeadline(c *app.RequestContext) (time.Duration, error) {
+	text := string(c.Request.Header.Peek(HeaderDeadline))
+	if text == "" {
+		return 0, nil
+	}
+	patience, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, malformed(HeaderDeadline + " must be a duration such as 30s")
+	}
+	if patience <= 0 {
+		return 0, &refuser.Refusal{
+			Reason:  refuser.DeadlinePast,
+			Ran:     refuser.RanNo,
+			Message: HeaderDeadline + " is in the past: send a duration above zero",
+		}
+	}
+	return patience, nil
+}
+
+// prefixHashes returns the running hash of each leading block, so that equal hashes mean equal prefixes.
+func prefixHashes(words []string) []string {
+	blocks := min(len(words)/prefixBlockTokens, maxPrefixBlocks)
+	hashes := make([]string, 0, blocks)
+	running := sha256.New()
+	for i := range blocks {
+		for _, w := range words[i*prefixBlockTokens : (i+1)*prefixBlockTokens] {
+			running.Write([]byte(w))
+			running.Write([]byte{' '})
+		}
+		hashes = append(hashes, hex.EncodeToString(running.Sum(nil)[:8]))
+	}
+	return hashes
+}
+
+func malformed(message string) error {
+	return &refuser.Refusal{
+		Reason:  refuser.MalformedRequest,
+		Ran:     refuser.RanNo,
+		Message: message,
+	}
+}
+
+func tooLarge(limit int) error {
+	return &refuser.Refusal{
+		Reason:  refuser.BodyTooLarge,
+		Ran:     refuser.RanNo,
+		Message: fmt.Sprintf("the body is over %d bytes: shorten it", limit),
+	}
+}
+
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,172 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/panjf2000/ants/v2"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"bergamothollow.example/bergamothollow/internal/controller"
+	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// Options are what a server is built from.
+type Options struct {
+	Listener    net.Listener
+	Control     *controller.Controller
+	Engines     *streamer.Client
+	Calls       Caller
+	Pool        *ants.Pool
+	Clock       timer.Clock
+	Log         *log.Logger
+	Metrics     *Metrics
+	NewID       func() namer.Request
+	BodyBytes   int
+	HeaderBytes int
+	ReaderStall time.Duration
+}
+
+// Server answers callers.
+type Server struct {
+	options Options
+	hertz   *server.Hertz
+}
+
+// New returns a server that listens on the options' listener.
+func New(o Options) *Server {
+	h := server.New(
+		server.WithListener(o.Listener),
+		server.WithMaxRequestBodySize(o.BodyBytes),
+		server.WithMaxHeaderBytes(o.HeaderBytes),
+		server.WithStreamBody(true),
+		server.WithSenseClientDisconnection(true),
+		server.WithWriteTimeout(o.ReaderStall),
+		server.WithReadTimeout(bodyTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(time.Second),
+	)
+	s := &Server{
+		options: o,
+		hertz:   h,
+	}
+	h.POST("/v1/completions", s.completions)
+	h.POST("/v1/services/:service/:call", s.service)
+	h.GET("/v1/address", s.address)
+	h.GET("/healthz", s.health)
+	metrics := promhttp.HandlerFor(o.Metrics.Registry, promhttp.HandlerOpts{})
+	h.GET("/metrics", adaptor.HertzHandler(metrics))
+	return s
+}
+
+// idleTimeout ends connections on which callers send no further request.
+const idleTimeout = 2 * time.Minute
+
+// Run answers callers until Shutdown is called.
+func (s *Server) Run() error {
+	return s.hertz.Run()
+}
+
+// Shutdown closes the listener and waits for the answers under way until the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.hertz.Shutdown(ctx)
+}
+
+func (s *Server) address(_ context.Context, c *app.RequestContext) {
+	answer, err := s.options.Control.Addresses()
+	if err != nil {
+		s.refuse(c, &controller.Request{
+			Received: s.options.Clock.Now(),
+		}, err)
+		return
+	}
+	c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) health(_ context.Context, c *app.RequestContext) {
+	if s.options.Control.Ready() {
+		c.String(http.StatusOK, "ready\n")
+		return
+	}
+	c.String(http.StatusServiceUnavailable, "not ready: no bundle in force yet, or leaving\n")
+}
+
+// errorBody is the JSON of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type         refuser.Reason       `json:"type"`
+	Message      string               `json:"message"`
+	Ran          refuser.Ran          `json:"ran"`
+	RefusalID    string               `json:"refusal_id"`
+	RequestID    namer.Request        `json:"request_id"`
+	RetryAfterMS int64                `json:"retry_after_ms,omitempty"`
+	Addresses    []controller.Address `json:"addresses,omitempty"`
+}
+
+// refuse records the refusal and answers the caller with it.
+func (s *Server) refuse(c *app.RequestContext, request *controller.Request, err error) {
+	refusal := asRefusal(err)
+	body := s.record(request, refusal)
+	if refusal.RetryAfter > 0 || refusal.Reason == refuser.Leaving {
+		c.Header("Retry-After", retryAfterSeconds(refusal.RetryAfter))
+	}
+	if leavesBodyUnread(refusal.Reason) {
+		c.SetConnectionClose()
+	}
+	c.JSON(refusal.Status(), body)
+}
+
+// record counts and stores the refusal and returns what the caller is told.
+func (s *Server) record(request *controller.Request, refusal *refuser.Refusal) errorBody {
+	s.options.Metrics.Refusals.WithLabelValues(string(refusal.Reason)).Inc()
+	s.options.Metrics.Requests.WithLabelValues("refused").Inc()
+	id := s.options.Control.Refused(request, refusal)
+	detail := errorDetail{
+		Type:         refusal.Reason,
+		Message:      refusal.Message,
+		Ran:          refusal.Ran,
+		RefusalID:    id,
+		RequestID:    request.ID,
+		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
+	}
+	if refusal.Reason == refuser.Leaving || refusal.Reason == refuser.Isolated || refusal.Reason == refuser.NotReady {
+		// Without an address the caller falls back on the others it knows.
+		if answer, err := s.options.Control.Addresses(); err == nil {
+			detail.Addresses = answer.Addresses
+		}
+	}
+	return errorBody{
+		Error: detail,
+	}
+}
+
+// asRefusal turns any error into a refusal; one that is not typed leaves the outcome unknown.
+func asRefusal(err error) *refuser.Refusal {
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &refuser.Refusal{
+		Reason:  refuser.TargetFailed,
+		Ran:     refuser.RanUnknown,
+		Message: err.Error(),
+	}
+}
+
+func leavesBodyUnread(reason refuser.Reason) bool {
+	return reason == refuser.BodyTooLarge || reason == refuser.MalformedRequest
+}
--- /dev/null
+++ b/internal/server/session.go
@@ -0,0 +1,318 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/controller"
+	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+)
+
+// streamBuffer is the number of tokens read ahead of the caller before reading from the engine stops.
+const streamBuffer = 256
+
+// session serves one admitted completion over one or more attempts.
+type session struct {
+	server  *Server
+	request *controller.Request
+	output  sink
+	// next is the index of the token that the caller needs next.
+	next  int
+	first time.Time
+}
+
+// callerError means that the caller is gone or reads too slowly.
+type callerError struct {
+	cause error
+}
+
+func (e *callerError) Error() string {
+	return "the caller does not read: " + e.cause.Error()
+}
+
+func (e *callerError) Unwrap() error {
+	return e.cause
+}
+
+// silentError means that an engine sent nothing for longer than expected.
+type silentError struct {
+	within time.Duration
+}
+
+func (e *silentError) Error() string {
+	return fmt.Sprintf("no token within %s", e.within)
+}
+
+// serve runs attempts until the answer is whole, the time is over or no further attempt is allowed.
+func (s *session) serve(ctx context.Context, placement *controller.Placement) {
+	for {
+		err := s.attempt(ctx, placement)
+		if err == nil {
+			s.server.options.Control.Release(placement, controller.Finished)
+			s.finish()
+			return
+		}
+		s.server.options.Control.Release(placement, controller.Aborted)
+		placement, err = s.again(ctx, placement, err)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+	}
+}
+
+func (s *session) finish() {
+	if err := s.output.finish(); err != nil {
+		s.server.options.Metrics.Requests.WithLabelValues("caller_gone").Inc()
+		return
+	}
+	s.server.options.Metrics.Requests.WithLabelValues("finished").Inc()
+}
+
+func (s *session) fail(err error) {
+	refusal := asRefusal(err)
+	s.output.fail(s.server.record(s.request, refusal), refusal)
+}
+
+// again decides whether a failed attempt is followed by another, and returns its placement.
+func (s *session) again(ctx context.Context, placement *controller.Placement, cause error) (*controller.Placement, error) {
+	var caller *callerError
+	if errors.As(cause, &caller) || errors.Is(ctx.Err(), context.Canceled) {
+		return nil, s.callerRefusal(cause)
+	}
+	if !s.server.options.Clock.Now().Before(s.request.Deadline) {
+		return nil, &refuser.Refusal{
+			Reason:  refuser.DeadlineExceeded,
+			Ran:     refuser.RanYes,
+			Message: fmt.Sprintf("the deadline passed after %d tokens", s.next-s.request.ResumeFrom),
+		}
+	}
+	reason := retryReason(cause)
+	next, err := s.server.options.Control.Retry(ctx, s.request, controller.Failure{
+		Placement: placement,
+		Reason:    reason,
+		Next:      s.next,
+		Cause:     cause,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.server.options.Metrics.Retries.WithLabelValues(string(reason)).Inc()
+	return next, nil
+}
+
+func (s *session) callerRefusal(cause error) error {
+	return &refuser.Refusal{
+		Reason:  refuser.ReaderTooSlow,
+		Ran:     refuser.RanYes,
+		Message: "the caller closed the connection or read nothing for too long: " + cause.Error(),
+	}
+}
+
+func retryReason(cause error) refuser.RetryReason {
+	var silent *silentError
+	if errors.As(cause, &silent) {
+		return refuser.StreamSilent
+	}
+	var engine *streamer.EngineError
+	if !errors.As(cause, &engine) {
+		return refuser.StreamBroken
+	}
+	switch {
+	case engine.Status != 0:
+		return refuser.TargetRefused
+	case !engine.Sent:
+		return refuser.ConnectFailed
+	default:
+		return refuser.StreamBroken
+	}
+}
+
+// attempt streams from the placement's target until done; it cancels the attempt at the target when it ends otherwise.
+func (s *session) attempt(ctx context.Context, placement *controller.Placement) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tokens := make(chan streamer.Token, streamBuffer)
+	done := make(chan error, len(placement.Parts))
+	// Parts other than the first only hold memory; the first part generates.
+	held := make(chan struct{}, len(placement.Parts))
+	for i := len(placement.Parts) - 1; i >= 1; i-- {
+		s.start(ctx, placement, i, done, func(streamer.Token) error {
+			held <- struct{}{}
+			return nil
+		})
+	}
+	err := s.awaitHeld(ctx, placement, held, done)
+	if err == nil {
+		s.start(ctx, placement, 0, done, func(token streamer.Token) error {
+			select {
+			case tokens <- token:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+		err = s.forward(ctx, placement, tokens, done)
+	}
+	if err != nil || len(placement.Parts) > 1 {
+		s.cancelParts(placement)
+	}
+	return err
+}
+
+func (s *session) start(ctx context.Context, placement *controller.Placement, part int, done chan<- error, receive func(streamer.Token) error) {
+	completion := s.completion(placement, part)
+	address := placement.Parts[part].Address
+	err := s.server.options.Pool.Submit(func() {
+		err := s.server.options.Engines.Stream(ctx, address, completion, receive)
+		if part == 0 || err != nil {
+			done <- err
+		}
+	})
+	if err != nil {
+		done <- fmt.Errorf("no free worker: %w", err)
+	}
+}
+
+func (s *session) completion(placement *controller.Placement, part int) streamer.Completion {
+	p := placement.Parts[part]
+	completion := streamer.Completion{
+		RequestID:    placement.PartID(part),
+		Model:        s.request.Model,
+		Prompt:       s.request.Prompt,
+		PromptTokens: s.request.PromptTokens,
+		MaxTokens:    s.request.MaxTokens,
+		Stream:       true,
+		Priority:     placement.Priority,
+		Epoch:        p.Epoch,
+		Holder:       placement.Holder,
+		ResumeFrom:   s.next,
+		Prefix:       s.request.Prefix,
+	}
+	if len(placement.Parts) > 1 {
+		completion.Group = &streamer.Group{
+			ID:         placement.Attempt,
+			Rank:       part,
+			Size:       len(placement.Parts),
+			PartTokens: p.Tokens,
+		}
+	}
+	if part > 0 {
+		// The prompt is read by rank 0 only; the others hold memory for their part.
+		completion.Prompt = ""
+	}
+	return completion
+}
+
+func (s *session) awaitHeld(ctx context.Context, placement *controller.Placement, held <-chan struct{}, done <-chan error) error {
+	for range len(placement.Parts) - 1 {
+		select {
+		case <-held:
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.server.options.Clock.After(placement.FirstTokenWithin):
+			return &silentError{
+				within: placement.FirstTokenWithin,
+			}
+		}
+	}
+	return nil
+}
+
+// forward hands tokens to the caller and watches the engine's progress.
+func (s *session) forward(ctx context.Context, placement *controller.Placement, tokens <-chan streamer.Token, done <-chan error) error {
+	within := placement.FirstTokenWithin
+	for {
+		select {
+		case t := <-tokens:
+			if err := s.deliver(placement, t); err != nil {
+				return err
+			}
+			within = placement.TokenWithin
+		case err := <-done:
+			return s.drain(placement, tokens, err)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.server.options.Clock.After(within):
+			return &silentError{
+				within: within,
+			}
+		}
+	}
+}
+
+// drain delivers what the stream left behind when it ended.
+func (s *session) drain(placement *controller.Placement, tokens <-chan streamer.Token, ended error) error {
+	for {
+		select {
+		case t := <-tokens:
+			if err := s.deliver(placement, t); err != nil {
+				return err
+			}
+		default:
+			if ended == nil && s.next < s.request.MaxTokens {
+				return &streamer.EngineError{
+					Address: placement.Parts[0].Address,
+					Sent:    true,
+					Cause:   fmt.Errorf("the stream was done at token %d of %d", s.next, s.request.MaxTokens),
+				}
+			}
+			return ended
+		}
+	}
+}
+
+// deliver hands one token to the caller if it belongs to this attempt and is the next one.
+func (s *session) deliver(placement *controller.Placement, token streamer.Token) error {
+	if token.RequestID != placement.PartID(0) || token.TokenIndex != s.next {
+		s.server.options.Metrics.LateEvents.Inc()
+		return nil
+	}
+	if s.first.IsZero() {
+		s.first = s.server.options.Clock.Now()
+		s.server.options.Metrics.FirstToken.WithLabelValues(placement.Class).Observe(s.first.Sub(s.request.Received).Seconds())
+	}
+	s.server.options.Control.Progress(placement, token.TokenIndex)
+	if err := s.output.token(token); err != nil {
+		return &callerError{
+			cause: err,
+		}
+	}
+	s.next++
+	return nil
+}
+
+// cancelParts frees the attempt's memory at its targets; what cannot be reached is found later by the owner's reconciliation.
+func (s *session) cancelParts(placement *controller.Placement) {
+	for i := range placement.Parts {
+		id := placement.PartID(i)
+		address := placement.Parts[i].Address
+		err := s.server.options.Pool.Submit(func() {
+			if err := s.server.options.Engines.Cancel(context.Background(), address, id); err != nil {
+				s.server.options.Log.Debug().Str("request", id).Err(err).Msg("server: cancel failed")
+			}
+		})
+		if err != nil {
+			s.server.options.Log.Warn().Str("request", id).Err(err).Msg("server: no worker to cancel")
+		}
+	}
+}
+
+// retryAfterSeconds rounds up, because callers read whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// isTimeout reports whether a write to the caller ran out of time.
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) && network.Timeout()
+}
--- /dev/null
+++ b/internal/streamer/client.go
@@ -0,0 +1,222 @@
+package streamer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout bounds the short calls: lists, load reports, cancels and orders.
+	callTimeout = time.Second
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 64 << 10
+	doneData      = "[DONE]"
+)
+
+// Client calls model engines.
+type Client struct {
+	streams *client.Client
+	calls   *client.Client
+}
+
+// New returns a client of engines that opens at most connections streams to each.
+func New(connections int) (*Client, error) {
+	// The standard dialer is used for streams because closing its connection ends a blocked read.
+	streams, err := client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithDialer(standard.NewDialer()),
+		client.WithMaxConnsPerHost(connections),
+		client.WithResponseBodyStream(true),
+	)
+	if err != nil {
+		return nil, err
+	}
+	calls, err := client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithDialer(standard.NewDialer()),
+		client.WithMaxConnsPerHost(connections),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{
+		streams: streams,
+		calls:   calls,
+	}, nil
+}
+
+// Stream sends the completion and hands each token to receive until the stream is done, the context ends or receive fails.
+func (c *Client) Stream(ctx context.Context, address string, completion Completion, receive func(Token) error) error {
+	body, err := json.Marshal(completion)
+	if err != nil {
+		return err
+	}
+	// Not taken from the library's pool: an opening that was given up still uses them.
+	req := &protocol.Request{}
+	resp := &protocol.Response{}
+	req.SetMethod(http.MethodPost)
+	req.SetRequestURI("http://" + address + "/v1/completions")
+	req.Header.SetContentTypeBytes([]byte("application/json"))
+	req.SetBody(body)
+	sse.AddAcceptMIME(req)
+	if deadline, ok := ctx.Deadline(); ok {
+		req.SetOptions(config.WithReadTimeout(time.Until(deadline)))
+	}
+	if err := c.open(ctx, req, resp); err != nil {
+		return failed(address, err)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if resp.StatusCode() != http.StatusOK {
+		return refused(address, resp)
+	}
+	return read(ctx, address, resp, receive)
+}
+
+// open waits for the response's header. The library does not heed the context while it waits, so the wait runs apart and
+// is given up when the context ends.
+func (c *Client) open(ctx context.Context, req *protocol.Request, resp *protocol.Response) error {
+	done := make(chan error, 1)
+	go func() {
+		done <- c.streams.Do(ctx, req, resp)
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		go func() {
+			if <-done == nil {
+				_ = resp.CloseBodyStream()
+			}
+		}()
+		return ctx.Err()
+	}
+}
+
+var errDone = errors.New("stream done")
+
+func read(ctx context.Context, address string, resp *protocol.Response, receive func(Token) error) error {
+	reader, err := sse.NewReader(resp)
+	if err != nil {
+		return failed(address, err)
+	}
+	reader.SetMaxBufferSize(maxEventBytes)
+	defer func() { _ = reader.Close() }()
+	err = reader.ForEach(ctx, func(e *sse.Event) error {
+		if string(e.Data) == doneData {
+			return errDone
+		}
+		var token Token
+		if err := json.Unmarshal(e.Data, &token); err != nil {
+			return err
+		}
+		return receive(token)
+	})
+	switch {
+	case errors.Is(err, errDone):
+		return nil
+	case ctx.Err() != nil:
+		return failed(address, ctx.Err())
+	case err == nil:
+		return failed(address, errors.New("the stream ended early"))
+	default:
+		return failed(address, err)
+	}
+}
+
+// Cancel ends a request at an engine and frees its memory there.
+func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
+	return c.call(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
+}
+
+// Requests lists what an engine holds.
+func (c *Client) Requests(ctx context.Context, address string) (RequestList, error) {
+	var list RequestList
+	err := c.call(ctx, http.MethodGet, address, "/v1/requests", nil, &list)
+	return list, err
+}
+
+// Load reads an engine's load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := c.call(ctx, http.MethodGet, address, "/v1/load", nil, &load)
+	return load, err
+}
+
+// CacheEvents reads an engine's prefix cache events after a number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after int64) (CacheEvents, error) {
+	var events CacheEvents
+	err := c.call(ctx, http.MethodGet, address, "/v1/cache_events?after="+strconv.FormatInt(after, 10), nil, &events)
+	return events, err
+}
+
+// Order sends an order to an engine.
+func (c *Client) Order(ctx context.Context, address string, order Order) error {
+	return c.call(ctx, http.MethodPost, address, "/v1/orders", order, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, message, answer any) error {
+	req := protocol.AcquireRequest()
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if message != nil {
+		body, err := json.Marshal(message)
+		if err != nil {
+			return err
+		}
+		req.Header.SetContentTypeBytes([]byte("application/json"))
+		req.SetBody(body)
+	}
+	if err := c.calls.DoTimeout(ctx, req, resp, callTimeout); err != nil {
+		return failed(address, err)
+	}
+	if status := resp.StatusCode(); status != http.StatusOK && status != http.StatusNoContent {
+		return refused(address, resp)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), answer); err != nil {
+		return failed(address, fmt.Errorf("read answer of %s: %w", path, err))
+	}
+	return nil
+}
+
+func failed(address string, cause error) error {
+	var operation *net.OpError
+	return &EngineError{
+		Address: address,
+		Sent:    !errors.As(cause, &operation) || operation.Op != "dial",
+		Cause:   cause,
+	}
+}
+
+func refused(address string, resp *protocol.Response) error {
+	var answer struct {
+		Error string `json:"error"`
+	}
+	// An engine that refuses without a JSON body has no code of its own.
+	_ = json.Unmarshal(resp.Body(), &answer)
+	return &EngineError{
+		Address: address,
+		Status:  resp.StatusCode(),
+		Code:    answer.Error,
+		Sent:    true,
+	}
+}
