--- /dev/null
+++ b/pkg/elector/event.go
@@ -0,0 +1,115 @@
+package elector
+
+import (
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/tracker"
+)
+
+// Event is an input of the elector.
+type Event interface{ event() }
+
+// HeartbeatSent says that a number leaves this instance now, in a heartbeat or in its member record.
+// It must be handled before the number is sent.
+type HeartbeatSent struct {
+	Number int64
+}
+
+// HeartbeatHeard is a heartbeat or an answer to one.
+type HeartbeatHeard struct {
+	From         namer.Holder
+	State        tracker.State
+	Number       int64
+	TableVersion int64
+	Heard        []tracker.Heard
+}
+
+// TableRead is the ownership table as the store answered; a missing table has version 0.
+type TableRead struct {
+	// Requested is the time on the own clock at which the read was sent.
+	Requested time.Time
+	Version   int64
+	Table     Table
+}
+
+// MembersRead is the list of member records of the cell.
+type MembersRead struct {
+	Requested time.Time
+	Members   []tracker.Member
+}
+
+// InstancesListed is the platform's list of live and leaving instances.
+type InstancesListed struct {
+	Requested time.Time
+	Instances []namer.Instance
+}
+
+// TargetsRead is the list of the cell's targets.
+type TargetsRead struct {
+	Targets []Target
+}
+
+// Target is what the elector needs to know of a target.
+type Target struct {
+	ID      namer.Target
+	Fencing bool
+}
+
+// WriteOutcome is how a conditional write ended.
+type WriteOutcome string
+
+// The outcomes of a write. After WriteUnknown the caller reads the table until a read answers.
+const (
+	WriteDone     WriteOutcome = "done"
+	WriteConflict WriteOutcome = "conflict"
+	WriteRefused  WriteOutcome = "refused"
+	WriteUnknown  WriteOutcome = "unknown"
+)
+
+// WriteAnswered ends a WriteTable.
+type WriteAnswered struct {
+	WriteNumber int64
+	Outcome     WriteOutcome
+	// Version is the version written.
+	Version int64
+}
+
+// FenceAnswered ends a FenceTarget; an engine that gave no answer is not reported.
+type FenceAnswered struct {
+	Target   namer.Target
+	Epoch    namer.Epoch
+	Boot     string
+	Accepted bool
+}
+
+// EpochRejected says that an engine answered stale_epoch to a request with this epoch.
+type EpochRejected struct {
+	Target namer.Target
+	Epoch  namer.Epoch
+}
+
+// BootSeen is the boot id that an engine reported.
+type BootSeen struct {
+	Target namer.Target
+	Boot   string
+}
+
+// Leave starts the planned stop of this instance.
+type Leave struct{}
+
+// Tick lets time pass; it is due every Options.TickEvery.
+type Tick struct{}
+
+func (HeartbeatSent) event()   {}
+func (HeartbeatHeard) event()  {}
+func (TableRead) event()       {}
+func (MembersRead) event()     {}
+func (InstancesListed) event() {}
+func (TargetsRead) event()     {}
+func (WriteAnswered) event()   {}
+func (FenceAnswered) event()   {}
+func (EpochRejected) event()   {}
+func (BootSeen) event()        {}
+func (Leave) event()           {}
+func (Tick) event()            {}
