--- /dev/null
+++ b/pkg/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter provides a deterministic token bucket.
+package limiter
--- /dev/null
+++ b/pkg/reconciler/doc.go
@@ -0,0 +1,2 @@
+// Package reconciler orders targets towards their wanted state.
+package reconciler
--- /dev/null
+++ b/pkg/recorder/doc.go
@@ -0,0 +1,2 @@
+// Package recorder batches refusal records and decides when they are written.
+package recorder
--- /dev/null
+++ b/pkg/roller/errors.go
@@ -0,0 +1,101 @@
+package roller
+
+import "fmt"
+
+// ParseError names the place of a fault in a bundle file.
+type ParseError struct {
+	File  string
+	Line  int
+	Field string
+	Cause string
+}
+
+// Error describes the fault and where it is.
+func (e *ParseError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Cause)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Cause)
+}
+
+// FieldError means that a field of a bundle has a value that is not allowed.
+type FieldError struct {
+	Field string
+	Value string
+	Rule  string
+}
+
+// Error describes the value and the rule that it breaks.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s is %s: it must be %s", e.Field, e.Value, e.Rule)
+}
+
+// ApproverError means that a bundle was approved by its author or by nobody.
+type ApproverError struct {
+	Approver string
+	Author   string
+}
+
+// Error describes who approved.
+func (e *ApproverError) Error() string {
+	return fmt.Sprintf("bundle by %q approved by %q: another person must approve it", e.Author, e.Approver)
+}
+
+// UnknownApproverError means that the settings have no key of the approver.
+type UnknownApproverError struct {
+	Approver string
+}
+
+// Error names the approver.
+func (e *UnknownApproverError) Error() string {
+	return fmt.Sprintf("no public key of approver %q: add it to approvers in the settings", e.Approver)
+}
+
+// KeyError means that a key has the wrong size.
+type KeyError struct {
+	Approver string
+	Size     int
+}
+
+// Error describes the key.
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("key of %q has %d bytes: give an Ed25519 key", e.Approver, e.Size)
+}
+
+// SignatureError means that the signature does not match the content.
+type SignatureError struct {
+	Sequence int64
+	Approver string
+}
+
+// Error describes the signature.
+func (e *SignatureError) Error() string {
+	return fmt.Sprintf("bundle %d is not signed by the key of %q: approve it again", e.Sequence, e.Approver)
+}
+
+// ContentError means that signed content is not a bundle that this version knows.
+type ContentError struct {
+	Cause error
+}
+
+// Error describes the fault.
+func (e *ContentError) Error() string {
+	return fmt.Sprintf("signed content is not a bundle of this version: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ContentError) Unwrap() error {
+	return e.Cause
+}
+
+// EnvelopeError means that a field beside the content differs from the content.
+type EnvelopeError struct {
+	Field string
+	Want  string
+	Got   string
+}
+
+// Error describes the difference.
+func (e *EnvelopeError) Error() string {
+	return fmt.Sprintf("%s of the signed bundle is %q, its content says %q: fetch it again", e.Field, e.Got, e.Want)
+}
