--- /dev/null
+++ b/internal/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer reads and checks the settings of instances and of operator commands.
+package configurer
--- /dev/null
+++ b/internal/configurer/load.go
@@ -0,0 +1,157 @@
+package configurer
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// FieldError is a fault in one field of a settings file.
+type FieldError struct {
+	File  string
+	Line  int
+	Field string
+	// Problem says what is wrong and what to do.
+	Problem string
+}
+
+// Error names file, line and field.
+func (e *FieldError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Problem)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Problem)
+}
+
+// FileError means that the settings file could not be read.
+type FileError struct {
+	File  string
+	Cause error
+}
+
+// Error says which file to provide.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("cannot read settings file %s (%v): create it or name another with --settings", e.File, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error {
+	return e.Cause
+}
+
+// Load reads and checks settings; keys that only an instance needs are required if instance is set.
+func Load(file string) (Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &FileError{
+			File:  file,
+			Cause: err,
+		}
+	}
+	return parse(file, content, false)
+}
+
+// LoadInstance is Load for a file that must hold all keys of an instance.
+func LoadInstance(file string) (Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &FileError{
+			File:  file,
+			Cause: err,
+		}
+	}
+	return parse(file, content, true)
+}
+
+func parse(file string, content []byte, instance bool) (Settings, error) {
+	tree, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return Settings{}, fieldError(file, nil, err)
+	}
+	settings := Defaults()
+	err = yaml.UnmarshalWithOptions(content, &settings,
+		yaml.Strict(), yaml.CustomUnmarshaler(decodeKey), yaml.CustomUnmarshaler(decodeDuration))
+	if err != nil {
+		return Settings{}, fieldError(file, tree, err)
+	}
+	if settings.Advertise.Callers == "" {
+		settings.Advertise.Callers = settings.Listen.Callers
+	}
+	if settings.Advertise.Peers == "" {
+		settings.Advertise.Peers = settings.Listen.Peers
+	}
+	c := checker{
+		file: file,
+		tree: tree,
+	}
+	return settings, c.check(settings, instance || settings.Instance != "")
+}
+
+// decodeKey reads a public key; a key that is not valid is left empty and reported by the check with its line.
+func decodeKey(key *ed25519.PublicKey, content []byte) error {
+	var text string
+	if err := yaml.Unmarshal(content, &text); err != nil {
+		return err
+	}
+	decoded, err := base64.StdEncoding.DecodeString(text)
+	if err == nil && len(decoded) == ed25519.PublicKeySize {
+		*key = decoded
+	}
+	return nil
+}
+
+// invalidDuration marks a text that is no duration; the check reports it with its line.
+const invalidDuration = time.Duration(math.MinInt64)
+
+// decodeDuration reads a duration with its unit; the library would take a bare number for nanoseconds.
+func decodeDuration(d *time.Duration, content []byte) error {
+	var text string
+	if err := yaml.Unmarshal(content, &text); err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		parsed = invalidDuration
+	}
+	*d = parsed
+	return nil
+}
+
+// fieldError names file, line and field of an error of the YAML library.
+func fieldError(file string, tree *ast.File, err error) error {
+	var fault yaml.Error
+	if !errors.As(err, &fault) || fault.GetToken() == nil {
+		return &FieldError{
+			File:    file,
+			Line:    1,
+			Problem: err.Error(),
+		}
+	}
+	position := fault.GetToken().Position
+	return &FieldError{
+		File:    file,
+		Line:    position.Line,
+		Field:   fieldAt(tree, position.Offset),
+		Problem: problem(fault),
+	}
+}
+
+func problem(fault yaml.Error) string {
+	var unknown *yaml.UnknownFieldError
+	if errors.As(fault, &unknown) {
+		return "unknown key: remove it or correct its name (docs/settings.md lists all keys)"
+	}
+	var mistyped *yaml.TypeError
+	if errors.As(fault, &mistyped) {
+		return fmt.Sprintf("the value has the wrong type, %s is wanted: see docs/settings.md", mistyped.DstType)
+	}
+	return fault.GetMessage() + ": correct it"
+}
--- /dev/null
+++ b/internal/configurer/load_test.go
@@ -0,0 +1,91 @@
+package configurer
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+const operatorFile = "operator: ana\nplatform:\n  address: 127.0.0.1:7000\n"
+
+func load(t *testing.T, content string) (Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(file)
+}
+
+// shouldFailAt asserts the line and field of a FieldError.
+func shouldFailAt(err error, line int, field string) {
+	var fault *FieldError
+	So(errors.As(err, &fault), ShouldBeTrue)
+	So(fault.Line, ShouldEqual, line)
+	So(fault.Field, ShouldEqual, field)
+	So(fault.Error(), ShouldContainSubstring, "settings.yaml:")
+}
+
+// Guards against faults that are accepted, or reported at the wrong place.
+func TestLoadFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		content string
+		line    int
+		wantErr string
+	}{
+		{"unknown key", operatorFile + "colour: red\n", 4, "colour"},
+		{"unknown nested key", operatorFile + "times:\n  heartbeat: 1s\n  heart: 2s\n", 6, "times.heart"},
+		{"wrong type", operatorFile + "bounds:\n  body_bytes: many\n", 5, "bounds.body_bytes"},
+		{"bad duration", operatorFile + "times:\n  heartbeat: soon\n", 5, "times.heartbeat"},
+		{"duration without unit", operatorFile + "times:\n  heartbeat: 3\n", 5, "times.heartbeat"},
+		{"duplicate key", operatorFile + "operator: eva\n", 4, "operator"},
+		{"not YAML", operatorFile + "times: [\n", 4, ""},
+		{"missing platform address", "operator: ana\n", 1, "platform.address"},
+		{"host name as address", "platform:\n  address: store:7000\n", 2, "platform.address"},
+		{"out of range", operatorFile + "bounds:\n  header_bytes: 1\n", 5, "bounds.header_bytes"},
+		{"relation of bounds", operatorFile + "bounds:\n  held_bytes_per_request: 9000000\n", 5, "bounds.held_bytes_per_request"},
+		{"relation of times", operatorFile + "times:\n  heartbeat: 1900ms\n", 5, "times.heartbeat"},
+		{"relation to a default", operatorFile + "times:\n  isolation: 1s\n", 4, "times.heartbeat"},
+		{"bad approver key", operatorFile + "approvers:\n  eva: AAAA\n", 5, "approvers.eva"},
+		{"bad distance", operatorFile + "datacentre_distance:\n  north-pier: 2s\n", 5, "datacentre_distance.north-pier"},
+		{"slash in a name", operatorFile + "cell: a/b\n", 4, "cell"},
+		{"instance without listen", operatorFile + "instance: a\ndata_centre: n\nregion: r\n", 1, "listen.callers"},
+		{"unspecified address advertised", operatorFile + "listen:\n  callers: 0.0.0.0:80\n", 1, "advertise.callers"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			_, err := load(t, test.content)
+			shouldFailAt(err, test.line, test.wantErr)
+		})
+	}
+}
+
+// Guards against defaults that are lost when the file sets a neighbouring key.
+func TestLoadDefaults(t *testing.T) {
+	Convey("unset keys keep their defaults", t, func() {
+		s, err := load(t, operatorFile+"times:\n  heartbeat: 500ms\nlisten:\n  peers: 127.0.0.1:81\n")
+		So(err, ShouldBeNil)
+		So(s.Times.Heartbeat, ShouldEqual, 500*time.Millisecond)
+		So(s.Times.Isolation, ShouldEqual, 3*time.Second)
+		So(s.Platform.Timeout, ShouldEqual, time.Second)
+		So(s.Cell, ShouldEqual, namer.Cell("main"))
+		So(s.Advertise.Peers, ShouldEqual, "127.0.0.1:81")
+	})
+}
+
+// Guards against an instance that starts without its keys.
+func TestLoadInstance(t *testing.T) {
+	Convey("an operator's file does not start an instance", t, func() {
+		file := filepath.Join(t.TempDir(), "settings.yaml")
+		So(os.WriteFile(file, []byte(operatorFile), 0o600), ShouldBeNil)
+		_, err := LoadInstance(file)
+		shouldFailAt(err, 1, "instance")
+	})
+}
--- /dev/null
+++ b/internal/configurer/position.go
@@ -0,0 +1,72 @@
+package configurer
+
+import (
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// fieldFinder looks for the field whose key or value starts at an offset.
+type fieldFinder struct {
+	offset int
+	field  string
+}
+
+// Visit implements ast.Visitor.
+func (f *fieldFinder) Visit(node ast.Node) ast.Visitor {
+	value, ok := node.(*ast.MappingValueNode)
+	if !ok {
+		return f
+	}
+	for _, part := range []ast.Node{value.Key, value.Value} {
+		if part.GetToken().Position.Offset == f.offset {
+			f.field = strings.TrimPrefix(value.GetPath(), "$.")
+		}
+	}
+	return f
+}
+
+func fieldAt(tree *ast.File, offset int) string {
+	if tree == nil {
+		return ""
+	}
+	f := fieldFinder{
+		offset: offset,
+	}
+	for _, document := range tree.Docs {
+		ast.Walk(&f, document.Body)
+	}
+	return f.field
+}
+
+// lineOf returns the line of the field, or of the innermost enclosing field that the file has.
+func lineOf(tree *ast.File, keys []string) int {
+	line := 1
+	if len(tree.Docs) == 0 {
+		return line
+	}
+	node := tree.Docs[0].Body
+	for _, key := range keys {
+		value := child(node, key)
+		if value == nil {
+			return line
+		}
+		line = value.Key.GetToken().Position.Line
+		node = value.Value
+	}
+	return line
+}
+
+func child(node ast.Node, key string) *ast.MappingValueNode {
+	mapping, ok := node.(ast.MapNode)
+	if !ok {
+		return nil
+	}
+	for entries := mapping.MapRange(); entries.Next(); {
+		value := entries.KeyValue()
+		if value.Key.GetToken().Value == key {
+			return value
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/configurer/settings.go
@@ -0,0 +1,97 @@
+package configurer
+
+import (
+	"crypto/ed25519"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// Settings are the settings of one instance or of the operator commands.
+type Settings struct {
+	Instance           namer.Instance                     `yaml:"instance"`
+	DataCentre         namer.DataCentre                   `yaml:"data_centre"`
+	Region             string                             `yaml:"region"`
+	Cell               namer.Cell                         `yaml:"cell"`
+	Listen             Addresses                          `yaml:"listen"`
+	Advertise          Addresses                          `yaml:"advertise"`
+	Platform           Platform                           `yaml:"platform"`
+	Operator           string                             `yaml:"operator"`
+	Approvers          map[string]ed25519.PublicKey       `yaml:"approvers"`
+	Bounds             Bounds                             `yaml:"bounds"`
+	Times              Times                              `yaml:"times"`
+	DataCentreDistance map[namer.DataCentre]time.Duration `yaml:"datacentre_distance"`
+}
+
+// Addresses are host:port pairs, one for callers and one for peers.
+type Addresses struct {
+	Callers string `yaml:"callers"`
+	Peers   string `yaml:"peers"`
+}
+
+// Platform says how to call the platform's object API.
+type Platform struct {
+	Address        string        `yaml:"address"`
+	Timeout        time.Duration `yaml:"timeout"`
+	CallsPerSecond float64       `yaml:"calls_per_second"`
+}
+
+// Bounds limit the memory and the work that an instance holds.
+type Bounds struct {
+	HeldBytesPerRequest  int `yaml:"held_bytes_per_request"`
+	HeldBytesPerCustomer int `yaml:"held_bytes_per_customer"`
+	HeldBytesPerProcess  int `yaml:"held_bytes_per_process"`
+	QueuePerModel        int `yaml:"queue_per_model"`
+	BodyBytes            int `yaml:"body_bytes"`
+	HeaderBytes          int `yaml:"header_bytes"`
+	TrafficWorkers       int `yaml:"traffic_workers"`
+}
+
+// Times are the intervals and timeouts of an instance.
+type Times struct {
+	Heartbeat       time.Duration `yaml:"heartbeat"`
+	MemberRenewal   time.Duration `yaml:"member_renewal"`
+	Isolation       time.Duration `yaml:"isolation"`
+	AddressValidity time.Duration `yaml:"address_validity"`
+	LeavingMargin   time.Duration `yaml:"leaving_margin"`
+	RefusalFlush    time.Duration `yaml:"refusal_flush"`
+	ReaderStall     time.Duration `yaml:"reader_stall"`
+	Reconcile       time.Duration `yaml:"reconcile"`
+}
+
+// Sizes in bytes.
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+)
+
+// Defaults returns the settings that hold where the file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Cell: "main",
+		Platform: Platform{
+			Timeout:        time.Second,
+			CallsPerSecond: 20,
+		},
+		Bounds: Bounds{
+			HeldBytesPerRequest:  256 * kibibyte,
+			HeldBytesPerCustomer: 8 * mebibyte,
+			HeldBytesPerProcess:  64 * mebibyte,
+			QueuePerModel:        1000,
+			// A prompt of a million tokens of up to 15 bytes fits.
+			BodyBytes:      16 * mebibyte,
+			HeaderBytes:    16 * kibibyte,
+			TrafficWorkers: 4096,
+		},
+		Times: Times{
+			Heartbeat:       time.Second,
+			MemberRenewal:   3 * time.Second,
+			Isolation:       3 * time.Second,
+			AddressValidity: 10 * time.Second,
+			LeavingMargin:   time.Second,
+			RefusalFlush:    2 * time.Second,
+			ReaderStall:     10 * time.Second,
+			Reconcile:       2 * time.Second,
+		},
+	}
+}
