--- /dev/null
+++ b/internal/controller/distribution.go
@@ -0,0 +1,247 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/messenger"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/roller"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/tracker"
+)
+
+// watchWait is how long one watch call waits; a watch counts as a call, so long waits save calls.
+const watchWait = 25 * time.Second
+
+func (c *Controller) handleDistribution(m message, now time.Time) {
+	switch m := m.(type) {
+	case bundleWanted:
+		signed, _ := c.follower.InForce()
+		m.reply <- signed
+	case departureWanted:
+		version, departure := c.tracker.Departures()
+		m.reply <- messenger.FetchDepartureAnswer{
+			Version:   version,
+			Departure: departure,
+		}
+	case departureFetched:
+		c.takeDepartureFetch(m, now)
+	case departureRead:
+		c.takeDeparture(m, now)
+	case bundleFetched:
+		c.takeBundle(m, now)
+	case pointerRead:
+		c.takePointer(m, now)
+	}
+}
+
+func (c *Controller) takeDepartureFetch(m departureFetched, now time.Time) {
+	if m.err != nil {
+		c.trackerActions(c.tracker.FailDeparture(m.peer, now), now)
+		return
+	}
+	c.trackerActions(c.tracker.ObserveDeparture(m.answer.Version, m.answer.Departure, now), now)
+}
+
+func (c *Controller) takeDeparture(m departureRead, now time.Time) {
+	if m.err != nil {
+		c.logStore("read departures", m.err)
+		return
+	}
+	c.heardStore(now)
+	if m.version == 0 {
+		return
+	}
+	c.trackerActions(c.tracker.ObserveDeparture(m.version, m.departure, now), now)
+}
+
+func (c *Controller) takeBundle(m bundleFetched, now time.Time) {
+	if m.err != nil {
+		c.followerActions(c.follower.FailFetch(m.source, now), now)
+		return
+	}
+	if m.source == roller.FromStore {
+		c.heardStore(now)
+	}
+	c.followerActions(c.follower.ReceiveBundle(m.source, m.signed, now), now)
+}
+
+func (c *Controller) takePointer(m pointerRead, now time.Time) {
+	if m.err != nil {
+		c.logStore("read bundle pointer", m.err)
+		return
+	}
+	c.heardStore(now)
+	if m.missing {
+		return
+	}
+	c.followerActions(c.follower.HearPointer(m.pointer, now), now)
+}
+
+func (c *Controller) followerActions(actions []roller.Action, now time.Time) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case roller.PutInForce:
+			c.putInForce(a, now)
+		case roller.FetchFromPeer:
+			c.fetchBundleFromPeer(a, now)
+		case roller.FetchFromStore:
+			c.fetchBundleFromStore(a)
+		case roller.ReadPointer:
+			c.readPointer()
+		case roller.StartWatch:
+			c.startWatch()
+		case roller.StopWatch:
+			c.stopWatch()
+		case roller.ReportRejected:
+			c.options.Log.Warn().Str("source", string(a.Source)).Int64("sequence", a.Sequence).Err(a.Err).Msg("roller: bundle rejected")
+		}
+	}
+}
+
+func (c *Controller) putInForce(a roller.PutInForce, now time.Time) {
+	c.bundle = a.Bundle
+	c.bundled = true
+	c.traffic.setBundle(a.Bundle)
+	c.tracker.SetBundle(a.Bundle.Sequence)
+	c.options.Log.Info().Int64("sequence", a.Bundle.Sequence).Msg("roller: bundle in force")
+	c.serveWhenReady(now)
+}
+
+// serveWhenReady changes the member state to serving once there is a bundle.
+func (c *Controller) serveWhenReady(now time.Time) {
+	if c.tracker.Self() == tracker.StateStarting && c.follower.Ready() {
+		c.trackerActions(c.tracker.Serve(now), now)
+	}
+}
+
+func (c *Controller) fetchBundleFromPeer(a roller.FetchFromPeer, now time.Time) {
+	address := c.peerAddress(a.Peer, now)
+	c.start(peerTimeout, func(ctx context.Context) message {
+		signed, err := c.options.Peers.FetchBundle(ctx, address, messenger.FetchBundleRequest{
+			Sequence: a.Sequence,
+		})
+		return bundleFetched{
+			source: a.Peer,
+			signed: signed,
+			err:    err,
+		}
+	})
+}
+
+func (c *Controller) fetchBundleFromStore(a roller.FetchFromStore) {
+	c.start(c.storeTimeout(), func(ctx context.Context) message {
+		fetched := bundleFetched{
+			source: roller.FromStore,
+		}
+		object, err := c.options.Store.Get(ctx, storer.PriorityControl, storer.KindBundle, strconv.FormatInt(a.Sequence, 10))
+		if err != nil {
+			fetched.err = err
+			return fetched
+		}
+		fetched.err = json.Unmarshal(object.Value, &fetched.signed)
+		return fetched
+	})
+}
+
+func (c *Controller) readPointer() {
+	c.start(c.storeTimeout(), func(ctx context.Context) message {
+		object, err := c.options.Store.Get(ctx, storer.PriorityControl, storer.KindBundlePointer, storer.CurrentName)
+		return decodePointer(object, err)
+	})
+}
+
+func decodePointer(object storer.Object, err error) pointerRead {
+	var missing *storer.NotFoundError
+	read := pointerRead{
+		missing: errors.As(err, &missing),
+	}
+	if err != nil && !read.missing {
+		read.err = err
+	}
+	if err == nil {
+		read.err = json.Unmarshal(object.Value, &read.pointer)
+	}
+	return read
+}
+
+func (c *Controller) readDeparture() {
+	c.start(c.storeTimeout(), func(ctx context.Context) message {
+		object, err := c.options.Store.Get(ctx, storer.PriorityControl, storer.KindDeparture, storer.CurrentName)
+		var missing *storer.NotFoundError
+		if errors.As(err, &missing) {
+			return departureRead{}
+		}
+		if err != nil {
+			return departureRead{
+				err: err,
+			}
+		}
+		return decodeDeparture(object)
+	})
+}
+
+func decodeDeparture(object storer.Object) departureRead {
+	read := departureRead{
+		version: object.Version,
+	}
+	read.err = json.Unmarshal(object.Value, &read.departure)
+	return read
+}
+
+// startWatch follows the bundle pointer and the departures in the store until stopWatch.
+func (c *Controller) startWatch() {
+	if c.watch != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.watch = cancel
+	c.follow(ctx, storer.KindBundlePointer, func(o storer.Object) message {
+		return decodePointer(o, nil)
+	})
+	c.follow(ctx, storer.KindDeparture, func(o storer.Object) message {
+		return decodeDeparture(o)
+	})
+}
+
+func (c *Controller) stopWatch() {
+	if c.watch != nil {
+		c.watch()
+		c.watch = nil
+	}
+}
+
+func (c *Controller) follow(ctx context.Context, kind storer.Kind, decode func(storer.Object) message) {
+	watcher := storer.NewWatcher(c.options.Store, storer.WatcherSettings{
+		Kind: kind,
+		Wait: watchWait,
+		Deliver: func(e storer.Event) {
+			if e.Type == storer.EventPut {
+				c.post(ctx, decode(e.Object))
+			}
+		},
+	})
+	go watcher.Run(ctx)
+}
+
+func (c *Controller) peerAddress(instance namer.Instance, now time.Time) string {
+	for _, p := range c.tracker.Peers(now) {
+		if p.Holder.Instance == instance {
+			return p.PeerAddress
+		}
+	}
+	return ""
+}
+
+func (c *Controller) holderAddress(holder namer.Holder, now time.Time) string {
+	for _, p := range c.tracker.Peers(now) {
+		if p.Holder == holder {
+			return p.PeerAddress
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/controller/membership.go
@@ -0,0 +1,250 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/configurer"
+	"bergamothollow.example/bergamothollow/internal/messenger"
+	"bergamothollow.example/bergamothollow/pkg/allocator"
+	"bergamothollow.example/bergamothollow/pkg/elector"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/reserver"
+	"bergamothollow.example/bergamothollow/pkg/tracker"
+)
+
+// nearest orders the other data centres by the distance in the settings.
+func nearest(s configurer.Settings) []namer.DataCentre {
+	names := slices.Collect(maps.Keys(s.DataCentreDistance))
+	slices.SortFunc(names, func(a, b namer.DataCentre) int {
+		return cmp.Or(cmp.Compare(s.DataCentreDistance[a], s.DataCentreDistance[b]), cmp.Compare(a, b))
+	})
+	return names
+}
+
+func (c *Controller) trackerActions(actions []tracker.Action, now time.Time) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case tracker.WriteMember:
+			c.renewMember(a.Member, now)
+		case tracker.FetchDeparture:
+			c.fetchDeparture(a, now)
+		case tracker.LosePeer:
+			c.options.Log.Warn().Str("instance", a.Holder.String()).Msg("tracker: member lost")
+		case tracker.ApplyDeparture:
+			c.options.Log.Info().Int64("version", a.Version).Str("change", a.Departure.Change).Msg("tracker: departures changed")
+		case tracker.StopAccepting:
+			c.options.Log.Info().Msg("tracker: new requests are refused from now on")
+			c.accepting = false
+		case tracker.ResumeAccepting:
+			c.accepting = true
+		case tracker.Exit:
+			c.exit()
+		}
+	}
+}
+
+func (c *Controller) exit() {
+	if !c.exited {
+		c.exited = true
+		close(c.done)
+	}
+}
+
+func (c *Controller) fetchDeparture(a tracker.FetchDeparture, now time.Time) {
+	address := c.holderAddress(a.Peer, now)
+	c.start(peerTimeout, func(ctx context.Context) message {
+		answer, err := c.options.Peers.FetchDeparture(ctx, address, messenger.FetchDepartureRequest{
+			Version: a.Version,
+		})
+		return departureFetched{
+			peer:   a.Peer,
+			answer: answer,
+			err:    err,
+		}
+	})
+}
+
+// sendHeartbeats sends one heartbeat to each peer.
+func (c *Controller) sendHeartbeats(now time.Time) {
+	number := c.nextNumber(now)
+	for _, p := range c.tracker.Peers(now) {
+		if p.State == tracker.StateLeft {
+			continue
+		}
+		beat := c.beat(number, now)
+		beat.Demand = c.demand(p.Holder, now)
+		c.sendHeartbeat(p, beat, now)
+	}
+}
+
+func (c *Controller) sendHeartbeat(p tracker.Peer, beat messenger.Heartbeat, now time.Time) {
+	c.start(peerTimeout, func(ctx context.Context) message {
+		answer, err := c.options.Peers.Heartbeat(ctx, p.PeerAddress, beat)
+		return beatAnswered{
+			peer:   p,
+			sent:   now,
+			answer: answer,
+			err:    err,
+		}
+	})
+}
+
+// beat returns the part of a heartbeat that is the same for all peers.
+func (c *Controller) beat(number int64, now time.Time) messenger.Heartbeat {
+	version, _ := c.tracker.Departures()
+	beat := messenger.Heartbeat{
+		Sender:           c.options.Self,
+		State:            c.tracker.Self(),
+		DataCentre:       c.options.Settings.DataCentre,
+		CallerAddress:    c.options.Settings.Advertise.Callers,
+		BundleSequence:   c.follower.Sequence(),
+		DepartureVersion: version,
+		TableVersion:     c.elector.TableVersion(),
+		StoreAgeMS:       storeAgeMS(c.storeAge(now)),
+		Number:           number,
+		Heard:            c.elector.Heard(now),
+	}
+	for _, t := range slices.Sorted(maps.Keys(c.owned)) {
+		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
+	}
+	return beat
+}
+
+func storeAgeMS(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+func summaryMessage(s allocator.Summary) messenger.TargetSummary {
+	return messenger.TargetSummary{
+		Target:       s.Target,
+		Epoch:        s.Epoch,
+		Boot:         s.Boot,
+		FreeTokens:   s.FreeTokens,
+		QueueTokens:  s.QueueTokens,
+		WarmPercent:  s.WarmPercent,
+		LongPrefills: s.LongPrefills,
+	}
+}
+
+func (c *Controller) demand(owner namer.Holder, now time.Time) []messenger.Demand {
+	var demand []messenger.Demand
+	for _, d := range c.reserver.Demand(owner, now) {
+		demand = append(demand, messenger.Demand{
+			Target:       d.Target,
+			UsedTokens:   d.UsedTokens,
+			WantedTokens: d.WantedTokens,
+		})
+	}
+	return demand
+}
+
+func (c *Controller) handlePeer(m message, now time.Time) {
+	switch m := m.(type) {
+	case beatHeard:
+		c.takeBeat(m.beat, now)
+		c.takeDemand(m.beat, now)
+		answer := c.beat(c.nextNumber(now), now)
+		answer.Quotas = c.quotasFor(m.beat.Sender, now)
+		m.reply <- answer
+	case beatAnswered:
+		c.takeBeatAnswer(m, now)
+	case reserveHeard:
+		c.takeReserve(m, now)
+	case reserveAnswered:
+		c.takeReserveAnswer(m, now)
+	case releaseHeard:
+		c.toAllocator(m.request.Target, allocator.Released{
+			From:    m.request.Sender,
+			Request: m.request.Request,
+		}, now)
+	case confirmHeard:
+		m.reply <- c.traffic.unknown(m.request)
+	case confirmAnswered:
+		if m.err == nil && len(m.answer.Unknown) > 0 {
+			c.toAllocator(m.target, allocator.RequestsDisowned{
+				Holder:   m.holder,
+				Requests: m.answer.Unknown,
+			}, now)
+		}
+	}
+}
+
+func (c *Controller) takeBeatAnswer(m beatAnswered, now time.Time) {
+	if m.err != nil {
+		c.options.Log.Debug().Str("peer", m.peer.Holder.String()).Err(m.err).Msg("controller: heartbeat not answered")
+		return
+	}
+	c.takeBeat(m.answer, now)
+	c.reserverActions(c.reserver.Handle(reserver.QuotasReceived{
+		From:      m.answer.Sender,
+		Number:    m.answer.Number,
+		Requested: m.sent,
+		Quotas:    quotas(m.answer.Quotas),
+	}, now), now)
+	c.traffic.roomChanged(now)
+}
+
+func quotas(messages []messenger.Quota) []reserver.Quota {
+	result := make([]reserver.Quota, 0, len(messages))
+	for _, q := range messages {
+		result = append(result, reserver.Quota{
+			Target:        q.Target,
+			Epoch:         q.Epoch,
+			Boot:          q.Boot,
+			MemoryTokens:  q.MemoryTokens,
+			PrefillTokens: q.PrefillTokens,
+			Valid:         time.Duration(q.ValidMS) * time.Millisecond,
+		})
+	}
+	return result
+}
+
+// takeBeat hands a peer's heartbeat to every part that learns from it.
+func (c *Controller) takeBeat(b messenger.Heartbeat, now time.Time) {
+	c.trackerActions(c.tracker.ObserveBeat(tracker.Beat{
+		Sender:           b.Sender,
+		State:            b.State,
+		DataCentre:       b.DataCentre,
+		CallerAddress:    b.CallerAddress,
+		Number:           b.Number,
+		DepartureVersion: b.DepartureVersion,
+		Heard:            b.Heard,
+	}, now), now)
+	c.electorActions(c.elector.Handle(elector.HeartbeatHeard{
+		From:         b.Sender,
+		State:        b.State,
+		Number:       b.Number,
+		TableVersion: b.TableVersion,
+		Heard:        b.Heard,
+	}, now), now)
+	age := time.Duration(b.StoreAgeMS) * time.Millisecond
+	c.followerActions(c.follower.HearPeer(b.Sender.Instance, b.BundleSequence, age, now), now)
+	for _, t := range b.Targets {
+		c.takeSummary(t, now)
+	}
+}
+
+func (c *Controller) takeSummary(s messenger.TargetSummary, now time.Time) {
+	if _, own := c.owned[s.Target]; own {
+		return
+	}
+	c.traffic.setSummary(s, now)
+	c.sawBoot(s.Target, s.Boot, now)
+}
+
+func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
+	for _, d := range b.Demand {
+		c.toAllocator(d.Target, allocator.DemandReported{
+			From:         b.Sender,
+			UsedTokens:   d.UsedTokens,
+			WantedTokens: d.WantedTokens,
+		}, now)
+	}
+}
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -74,6 +74,11 @@
 	return send[FetchDepartureAnswer](ctx, c, address, MethodFetchDeparture, message)
 }
 
+// Confirm asks a holder which requests it knows.
+func (c *Client) Confirm(ctx context.Context, address string, message ConfirmRequest) (ConfirmAnswer, error) {
+	return send[ConfirmAnswer](ctx, c, address, MethodConfirm, message)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/messenger/listener.go
+++ b/internal/messenger/listener.go
@@ -19,6 +19,7 @@
 	Release(ctx context.Context, message ReleaseRequest) error
 	FetchBundle(ctx context.Context, message FetchBundleRequest) (roller.Signed, error)
 	FetchDeparture(ctx context.Context, message FetchDepartureRequest) (FetchDepartureAnswer, error)
+	Confirm(ctx context.Context, message ConfirmRequest) (ConfirmAnswer, error)
 }
 
 // Traffic counts the bytes that messages between instances took.
@@ -76,6 +77,8 @@
 		return answerWith(ctx, request, handler.FetchBundle)
 	case MethodFetchDeparture:
 		return answerWith(ctx, request, handler.FetchDeparture)
+	case MethodConfirm:
+		return answerWith(ctx, request, handler.Confirm)
 	default:
 		return nil, &jsonrpc2.Error{
 			Code:    jsonrpc2.CodeMethodNotFound,
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -13,6 +13,7 @@
 	MethodRelease        = "release"
 	MethodFetchBundle    = "fetch_bundle"
 	MethodFetchDeparture = "fetch_departure"
+	MethodConfirm        = "confirm"
 )
 
 // Heartbeat is sent once a second to each peer of the cell and answered in kind.
@@ -41,12 +42,14 @@
 	QueueTokens  int          `json:"queue_tokens"`
 	WarmPercent  int          `json:"warm_percent"`
 	LongPrefills int          `json:"long_prefills"`
+	Boot         string       `json:"boot,omitempty"`
 }
 
 // Quota is what an owner allocates to the receiver.
 type Quota struct {
 	Target        namer.Target `json:"target"`
 	Epoch         namer.Epoch  `json:"epoch"`
+	Boot          string       `json:"boot,omitempty"`
 	MemoryTokens  int          `json:"memory_tokens"`
 	PrefillTokens int          `json:"prefill_tokens"`
 	ValidMS       int64        `json:"valid_ms"`
@@ -74,6 +77,8 @@
 type ReserveAnswer struct {
 	Granted bool           `json:"granted"`
 	Epoch   namer.Epoch    `json:"epoch"`
+	Boot    string         `json:"boot,omitempty"`
+	ValidMS int64          `json:"valid_ms,omitempty"`
 	Reason  refuser.Reason `json:"reason,omitempty"`
 }
 
@@ -99,3 +104,16 @@
 	Version   int64             `json:"version"`
 	Departure tracker.Departure `json:"departure"`
 }
+
+// ConfirmRequest asks a holder which of these requests it knows.
+type ConfirmRequest struct {
+	Sender   namer.Holder    `json:"sender"`
+	Holder   namer.Holder    `json:"holder"`
+	Target   namer.Target    `json:"target"`
+	Requests []namer.Request `json:"requests"`
+}
+
+// ConfirmAnswer names the requests that the holder does not know.
+type ConfirmAnswer struct {
+	Unknown []namer.Request `json:"unknown"`
+}
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -23,8 +23,11 @@
 	request *controller.Request
 	output  sink
 	// next is the index of the token that the caller needs next.
-	next  int
-	first time.Time
+	next int
+	// started, first and received describe the current attempt.
+	started  time.Time
+	first    time.Time
+	received int
 }
 
 // callerError means that the caller is gone or reads too slowly.
@@ -54,11 +57,11 @@
 	for {
 		err := s.attempt(ctx, placement)
 		if err == nil {
-			s.server.options.Control.Release(placement, controller.Finished)
+			s.server.options.Control.Release(placement, controller.Finished, s.interval())
 			s.finish()
 			return
 		}
-		s.server.options.Control.Release(placement, controller.Aborted)
+		s.server.options.Control.Release(placement, controller.Aborted, s.interval())
 		placement, err = s.again(ctx, placement, err)
 		if err != nil {
 			s.fail(err)
@@ -138,6 +141,7 @@
 func (s *session) attempt(ctx context.Context, placement *controller.Placement) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.started, s.first, s.received = s.server.options.Clock.Now(), time.Time{}, 0
 	tokens := make(chan streamer.Token, streamBuffer)
 	done := make(chan error, len(placement.Parts))
 	// Parts other than the first only hold memory; the first part generates.
@@ -276,11 +280,7 @@
 		s.server.options.Metrics.LateEvents.Inc()
 		return nil
 	}
-	if s.first.IsZero() {
-		s.first = s.server.options.Clock.Now()
-		s.server.options.Metrics.FirstToken.WithLabelValues(placement.Class).Observe(s.first.Sub(s.request.Received).Seconds())
-	}
-	s.server.options.Control.Progress(placement, token.TokenIndex)
+	s.observe(placement)
 	if err := s.output.token(token); err != nil {
 		return &callerError{
 			cause: err,
@@ -290,6 +290,27 @@
 	return nil
 }
 
+// observe takes the times that predictions are learned from.
+func (s *session) observe(placement *controller.Placement) {
+	s.received++
+	if s.received > 1 {
+		return
+	}
+	s.first = s.server.options.Clock.Now()
+	s.server.options.Control.FirstToken(placement, s.first.Sub(s.started))
+	if s.next == s.request.ResumeFrom {
+		s.server.options.Metrics.FirstToken.WithLabelValues(placement.Class).Observe(s.first.Sub(s.request.Received).Seconds())
+	}
+}
+
+// interval returns the mean time between tokens of the attempt, 0 if it had fewer than two.
+func (s *session) interval() time.Duration {
+	if s.received < 2 {
+		return 0
+	}
+	return s.server.options.Clock.Now().Sub(s.first) / time.Duration(s.received-1)
+}
+
 // cancelParts frees the attempt's memory at its targets; what cannot be reached is found later by the owner's reconciliation.
 func (s *session) cancelParts(placement *controller.Placement) {
 	for i := range placement.Parts {
