--- /dev/null
+++ b/pkg/allocator/reconcile.go
@@ -0,0 +1,179 @@
+package allocator
+
+import (
+	"sort"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// confirmAfter is how many lists in a row must show more use than a recipient reports before it is asked.
+const confirmAfter = 2
+
+// reconcile compares the engine's list with what this owner allocated. A list that was asked for before the
+// last one answered late and is ignored.
+func (a *Allocator) reconcile(v Listed, now time.Time) []Action {
+	if v.Requested.Before(a.listedAt) {
+		return nil
+	}
+	a.listedAt = v.Requested
+	if v.Boot != a.boot {
+		a.restart(v.Boot, now)
+	}
+	clear(a.listed)
+	for _, q := range v.Requests {
+		a.listed[q.Request] = q
+	}
+	a.reconcileReservations(v.Requested)
+	a.countUse(v.Requests)
+	for _, r := range a.recipients {
+		r.dropGrants(v.Requested)
+	}
+	if !v.Requested.Before(a.changedAt) {
+		a.confirmed = a.share
+	}
+	return append(a.cancelLost(), a.confirmExcess()...)
+}
+
+// restart voids everything: the engine's memory is empty, and quotas and reservations name the boot id, which
+// their holders check on each connection.
+func (a *Allocator) restart(boot string, now time.Time) {
+	first := a.boot == ""
+	a.boot = boot
+	clear(a.reserved)
+	for _, r := range a.recipients {
+		r.grants = nil
+	}
+	a.ramp.reset(now)
+	if first && boot == a.knownBoot {
+		a.ramp.warm = max(a.ramp.warm, a.knownWarm)
+	}
+}
+
+// reconcileReservations frees reservations whose request has ended or did not start in time.
+func (a *Allocator) reconcileReservations(requested time.Time) {
+	for id, v := range a.reserved {
+		running, ok := a.listed[id]
+		if !ok && (v.seen || !requested.Before(v.expires)) {
+			delete(a.reserved, id)
+			continue
+		}
+		if ok {
+			v.seen = true
+			v.prefilling = v.prefilling && running.ProducedTokens == 0
+			v.tokens = max(v.tokens, running.ReservedTokens)
+		}
+	}
+}
+
+// countUse attributes the listed requests that are not one-off reservations. Use under an epoch that this
+// owner never held was granted by somebody else.
+func (a *Allocator) countUse(requests []Running) {
+	a.foreign = 0
+	for _, r := range a.recipients {
+		r.listed = 0
+	}
+	for _, q := range requests {
+		if _, ok := a.reserved[q.Request]; ok {
+			continue
+		}
+		if a.epochs[q.Epoch] {
+			a.recipient(q.Holder).listed += q.ReservedTokens
+			continue
+		}
+		a.foreign += q.ReservedTokens
+	}
+}
+
+func (a *Allocator) loseHolder(h namer.Holder) []Action {
+	a.lost[h] = true
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if w.ask.From != h {
+			kept = append(kept, w)
+		}
+	}
+	a.waiting = kept
+	return a.cancelLost()
+}
+
+func (a *Allocator) cancelLost() []Action {
+	if len(a.lost) == 0 || a.share == 0 {
+		return nil
+	}
+	var actions []Action
+	for _, id := range sortedRequests(a.listed) {
+		if a.lost[a.listed[id].Holder] {
+			actions = append(actions, a.cancel(id, HolderGone))
+		}
+	}
+	return actions
+}
+
+func (a *Allocator) cancel(id namer.Request, reason CancelReason) Action {
+	return CancelRequest{
+		Target:  a.options.Target,
+		Request: id,
+		Reason:  reason,
+	}
+}
+
+// confirmExcess asks recipients whose use at the engine stays above what they report.
+func (a *Allocator) confirmExcess() []Action {
+	var actions []Action
+	for _, h := range a.sortedRecipients() {
+		r := a.recipients[h]
+		if r.listed <= r.used || a.lost[h] || a.share == 0 {
+			r.excess = 0
+			continue
+		}
+		r.excess++
+		if r.excess >= confirmAfter {
+			r.excess = 0
+			actions = append(actions, ConfirmRequests{
+				Holder:   h,
+				Target:   a.options.Target,
+				Requests: a.requestsOf(h),
+			})
+		}
+	}
+	return actions
+}
+
+func (a *Allocator) requestsOf(h namer.Holder) []namer.Request {
+	var requests []namer.Request
+	for _, id := range sortedRequests(a.listed) {
+		if a.listed[id].Holder == h {
+			requests = append(requests, id)
+		}
+	}
+	return requests
+}
+
+func (a *Allocator) cancelDisowned(v RequestsDisowned) []Action {
+	var actions []Action
+	for _, id := range v.Requests {
+		if q, ok := a.listed[id]; ok && q.Holder == v.Holder && a.share > 0 {
+			actions = append(actions, a.cancel(id, NotKnown))
+		}
+	}
+	return actions
+}
+
+func (a *Allocator) sortedRecipients() []namer.Holder {
+	holders := make([]namer.Holder, 0, len(a.recipients))
+	for h := range a.recipients {
+		holders = append(holders, h)
+	}
+	sort.Slice(holders, func(i, j int) bool { return holders[i].String() < holders[j].String() })
+	return holders
+}
+
+// noteLoad ignores reports of another boot: only the list, which does not lag, changes the boot id.
+func (a *Allocator) noteLoad(v LoadReported, now time.Time) {
+	if v.Boot != a.boot {
+		return
+	}
+	a.queued = v.QueueTokens
+	a.ramp.report(v.Cold, v.Age, now)
+}
--- a/pkg/elector/table.go
+++ b/pkg/elector/table.go
@@ -16,3 +16,24 @@
 	Previous  *namer.Holder `json:"previous,omitempty"`
 	Epoch     namer.Epoch   `json:"epoch"`
 }
+
+func (t Table) clone() Table {
+	entries := make(map[namer.Target]*Entry, len(t.Entries))
+	for id, entry := range t.Entries {
+		copied := *entry
+		entries[id] = &copied
+	}
+	t.Entries = entries
+	return t
+}
+
+func (e *Entry) sameRoles(other *Entry) bool {
+	return e.Owner == other.Owner && e.Successor == other.Successor && e.Epoch == other.Epoch
+}
+
+func (e *Entry) equal(other *Entry) bool {
+	if !e.sameRoles(other) || (e.Previous == nil) != (other.Previous == nil) {
+		return false
+	}
+	return e.Previous == nil || *e.Previous == *other.Previous
+}
--- a/pkg/tracker/record.go
+++ b/pkg/tracker/record.go
@@ -28,7 +28,9 @@
 	BundleSequence int64            `json:"bundle_sequence"`
 	DepartureSeen  int64            `json:"departure_seen"`
 	Number         int64            `json:"number"`
-	Heard          []Heard          `json:"heard"`
+	// TableVersion is the version of the ownership table that the instance had read when it wrote Heard.
+	TableVersion int64   `json:"table_version"`
+	Heard        []Heard `json:"heard"`
 }
 
 // Heard is the last heartbeat number heard from a member.
