--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -10,8 +10,8 @@
 const (
 	// QuotaValid is how long a quota can be used, counted from the message that asked for it.
 	QuotaValid = 6 * time.Second
-	// clockMargin covers the difference of the rates of two clocks.
-	clockMargin = 1.1
+	// clockMarginPart adds a tenth, which covers the difference of the rates of two clocks.
+	clockMarginPart = 10
 	// ShortPrefillTokens is the most that a short request prefills.
 	ShortPrefillTokens = 8_000
 	// LongPrefillTokens is the most that a medium request prefills; above it a request is long.
@@ -178,6 +178,9 @@
 	if v.Share > a.share {
 		a.changedAt = now
 	}
+	if a.epoch == 0 && v.KnownBoot != "" && v.KnownBoot == a.boot {
+		a.ramp.warm = max(a.ramp.warm, v.KnownWarm)
+	}
 	a.share = v.Share
 	a.confirmed = min(a.confirmed, v.Share)
 	a.until = v.Until
@@ -254,7 +257,7 @@
 
 // quotaGone is the time after which a quota granted now is expired on every clock.
 func quotaGone() time.Duration {
-	return time.Duration(float64(QuotaValid) * clockMargin)
+	return QuotaValid + QuotaValid/clockMarginPart
 }
 
 // Summary returns the state for heartbeats.
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -102,7 +102,9 @@
 	fenceSentAt time.Time
 	// fenceTried is the highest epoch of a fence order that may have taken effect.
 	fenceTried namer.Epoch
+	// rejected is the highest epoch that the engine answered stale_epoch to.
 	rejected   namer.Epoch
+	rejectedAt time.Time
 	// usedUntil is the end of the last authority that was given out as successor.
 	usedUntil time.Time
 	// releasedAt is when this instance stopped allocating because it hands the target over.
