--- a/pkg/allocator/quota.go
+++ b/pkg/allocator/quota.go
@@ -106,7 +106,8 @@
 			kept = append(kept, o)
 		}
 	}
-	r.grants = append(kept, g)
+	r.grants = kept
+	r.grants = append(r.grants, g)
 }
 
 // dropGrants forgets grants that had expired when the engine's list was asked for: whatever began under them
--- a/pkg/reserver/action.go
+++ b/pkg/reserver/action.go
@@ -55,13 +55,15 @@
 	Epoch   namer.Epoch
 }
 
-// StartDenied answers Start; the attempt has been released on all its targets.
+// StartDenied answers Start: no byte may be sent to the target. The attempt still holds its memory; once its other
+// parts are ended at their engines, Release gives it back.
 type StartDenied struct {
 	Request namer.Request
 	Target  namer.Target
 }
 
-// Lost says that a target restarted under the attempt, which has been released on all its targets.
+// Lost says that a target restarted under the attempt, which holds nothing there any more. An attempt of a group
+// still holds its other targets until Release.
 type Lost struct {
 	Request namer.Request
 	Target  namer.Target
--- a/pkg/reserver/event.go
+++ b/pkg/reserver/event.go
@@ -58,6 +58,7 @@
 
 // OwnerAnswered is the answer to AskOwner; a failed call is an answer that is not granted with Unknown set.
 type OwnerAnswered struct {
+	Owner   namer.Holder
 	Request namer.Request
 	Target  namer.Target
 	Granted bool
