--- a/pkg/roller/errors.go
+++ b/pkg/roller/errors.go
@@ -1,6 +1,9 @@
 package roller
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // ParseError names the place of a fault in a bundle file.
 type ParseError struct {
@@ -8,6 +11,13 @@
 	Line  int
 	Field string
 	Cause string
+	// Err is the FieldError behind the fault, nil for faults of syntax and type.
+	Err error
+}
+
+// Unwrap returns the FieldError, if any.
+func (e *ParseError) Unwrap() error {
+	return e.Err
 }
 
 // Error describes the fault and where it is.
@@ -20,14 +30,24 @@
 
 // FieldError means that a field of a bundle has a value that is not allowed.
 type FieldError struct {
-	Field string
+	Path  []string
 	Value string
 	Rule  string
 }
 
-// Error describes the value and the rule that it breaks.
+// Name returns the path with dots.
+func (e *FieldError) Name() string {
+	return strings.Join(e.Path, ".")
+}
+
+// Fault describes the value and the rule that it breaks, without the path.
+func (e *FieldError) Fault() string {
+	return fmt.Sprintf("%q is not allowed, it must be %s", e.Value, e.Rule)
+}
+
+// Error describes the field, its value and the rule that it breaks.
 func (e *FieldError) Error() string {
-	return fmt.Sprintf("%s is %s: it must be %s", e.Field, e.Value, e.Rule)
+	return e.Name() + ": " + e.Fault()
 }
 
 // ApproverError means that a bundle was approved by its author or by nobody.
@@ -99,3 +119,15 @@
 func (e *EnvelopeError) Error() string {
 	return fmt.Sprintf("%s of the signed bundle is %q, its content says %q: fetch it again", e.Field, e.Got, e.Want)
 }
+
+// PointerError means that a bundle is not the one that the pointer names.
+type PointerError struct {
+	Sequence int64
+	Want     string
+	Got      string
+}
+
+// Error describes the difference.
+func (e *PointerError) Error() string {
+	return fmt.Sprintf("bundle %d has digest %s, the pointer names %s: roll a new sequence", e.Sequence, e.Got, e.Want)
+}
--- a/pkg/roller/parse.go
+++ b/pkg/roller/parse.go
@@ -1,11 +1,125 @@
 package roller
 
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
 // Parse reads a bundle file and validates it; unknown keys are rejected.
-func Parse(_ string, _ []byte) (Bundle, error) {
-	return Bundle{}, nil
+func Parse(file string, content []byte) (Bundle, error) {
+	var b Bundle
+	err := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict()).Decode(&b)
+	switch {
+	case errors.Is(err, io.EOF):
+		return Bundle{}, &ParseError{
+			File:  file,
+			Line:  1,
+			Cause: "the file has no content: describe a bundle in it",
+		}
+	case err != nil:
+		return Bundle{}, locateDecodeError(file, content, err)
+	}
+	if err := b.Validate(); err != nil {
+		return Bundle{}, locateFieldError(file, content, err)
+	}
+	return b, nil
+}
+
+func locateDecodeError(file string, content []byte, err error) error {
+	located := &ParseError{
+		File:  file,
+		Line:  1,
+		Cause: err.Error(),
+	}
+	var fault yaml.Error
+	if !errors.As(err, &fault) || fault.GetToken() == nil {
+		return located
+	}
+	located.Line = fault.GetToken().Position.Line
+	located.Cause = fault.GetMessage()
+	located.Field = fieldAt(content, located.Line)
+	var unknown *yaml.UnknownFieldError
+	if errors.As(err, &unknown) {
+		located.Cause = "unknown key: remove it or correct its spelling"
+	}
+	return located
+}
+
+// fieldAt returns the path of the first key on a line, empty if the content cannot be parsed.
+func fieldAt(content []byte, line int) string {
+	root, err := parseRoot(content)
+	if err != nil {
+		return ""
+	}
+	finder := &lineFinder{
+		line: line,
+	}
+	ast.Walk(finder, root)
+	return finder.path
+}
+
+type lineFinder struct {
+	line int
+	path string
+}
+
+// Visit records the path of the first key on the line.
+func (f *lineFinder) Visit(node ast.Node) ast.Visitor {
+	entry, ok := node.(*ast.MappingValueNode)
+	if ok && f.path == "" && entry.Key.GetToken().Position.Line == f.line {
+		f.path = strings.TrimPrefix(entry.Key.GetPath(), "$.")
+	}
+	return f
+}
+
+func locateFieldError(file string, content []byte, err error) error {
+	var field *FieldError
+	if !errors.As(err, &field) {
+		return err
+	}
+	return &ParseError{
+		File:  file,
+		Line:  lineOf(content, field.Path),
+		Field: field.Name(),
+		Cause: field.Fault(),
+		Err:   field,
+	}
+}
+
+// lineOf returns the line of the path, or of its deepest part that is in the file.
+func lineOf(content []byte, path []string) int {
+	root, err := parseRoot(content)
+	if err != nil {
+		return 1
+	}
+	line := 1
+	for n := 1; n <= len(path); n++ {
+		builder := (&yaml.PathBuilder{}).Root()
+		for _, part := range path[:n] {
+			builder = builder.Child(part)
+		}
+		node, err := builder.Build().FilterNode(root)
+		if err != nil || node == nil || node.GetToken() == nil {
+			break
+		}
+		line = node.GetToken().Position.Line
+	}
+	return line
 }
 
-// Validate checks the values of all fields.
-func (b Bundle) Validate() error {
-	return nil
+func parseRoot(content []byte) (ast.Node, error) {
+	tree, err := parser.ParseBytes(content, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(tree.Docs) == 0 || tree.Docs[0].Body == nil {
+		return nil, io.EOF
+	}
+	return tree.Docs[0].Body, nil
 }
--- /dev/null
+++ b/pkg/tracker/addresses.go
@@ -0,0 +1,136 @@
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+const (
+	// maxAddresses is the length of an address answer.
+	maxAddresses = 3
+	// maxPerDataCentre leaves a caller with another address when a whole data centre is lost.
+	maxPerDataCentre = 2
+)
+
+// candidate is an instance that may be in an address answer.
+type candidate struct {
+	address Address
+	suspect bool
+	// turn is the position in the rotation that spreads answers over instances.
+	turn int
+}
+
+// Addresses answers up to three addresses, nearest to the data centre first; number spreads successive answers.
+func (t *Tracker) Addresses(near namer.DataCentre, number uint64, now time.Time) []Address {
+	if near == "" {
+		near = t.settings.DataCentre
+	}
+	candidates := t.candidates(now)
+	rotate(candidates, number)
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(t.distance(near, a), t.distance(near, b)),
+			compareBool(a.suspect, b.suspect),
+			cmp.Compare(a.turn, b.turn),
+		)
+	})
+	return choose(candidates)
+}
+
+// LiveEntries returns how many instances are given to callers, this one included; at least 1.
+func (t *Tracker) LiveEntries(now time.Time) int {
+	return max(1, len(t.candidates(now)))
+}
+
+// candidates returns the instances that serve, by name.
+func (t *Tracker) candidates(now time.Time) []candidate {
+	var candidates []candidate
+	if t.state == StateServing && !t.dataCentreOut(t.settings.DataCentre) && !t.Isolated(now) {
+		candidates = append(candidates, candidate{
+			address: Address{
+				Instance:   t.settings.Self.Instance,
+				Address:    t.settings.CallerAddress,
+				DataCentre: t.settings.DataCentre,
+			},
+		})
+	}
+	for _, p := range t.members {
+		if t.usable(p, now) {
+			candidates = append(candidates, candidate{
+				address: Address{
+					Instance:   p.holder.Instance,
+					Address:    p.callerAddress,
+					DataCentre: p.dataCentre,
+				},
+				suspect: now.Sub(p.heard) >= t.settings.SuspectAfter,
+			})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Compare(a.address.Instance, b.address.Instance)
+	})
+	return candidates
+}
+
+func (t *Tracker) usable(p *member, now time.Time) bool {
+	entry := t.list[p.holder.Instance]
+	listedLeaving := entry != nil && entry.leaving
+	return p.state == StateServing && p.callerAddress != "" && !listedLeaving &&
+		!t.lostAt(p, now) && !t.dataCentreOut(p.dataCentre)
+}
+
+// rotate numbers the instances of each data centre in turn, starting at another one for each answer.
+func rotate(candidates []candidate, number uint64) {
+	sizes := map[namer.DataCentre]int{}
+	for _, c := range candidates {
+		sizes[c.address.DataCentre]++
+	}
+	seen := map[namer.DataCentre]int{}
+	for i, c := range candidates {
+		size := sizes[c.address.DataCentre]
+		start := int(number % uint64(size))
+		candidates[i].turn = (seen[c.address.DataCentre] - start + size) % size
+		seen[c.address.DataCentre]++
+	}
+}
+
+// distance ranks data centres: the caller's, the listed ones in order, then all others alike.
+func (t *Tracker) distance(near namer.DataCentre, c candidate) int {
+	if c.address.DataCentre == near {
+		return -1
+	}
+	if i := slices.Index(t.settings.Nearest, c.address.DataCentre); i >= 0 {
+		return i
+	}
+	return len(t.settings.Nearest)
+}
+
+func choose(candidates []candidate) []Address {
+	chosen := make([]Address, 0, maxAddresses)
+	var spare []Address
+	count := map[namer.DataCentre]int{}
+	for _, c := range candidates {
+		if count[c.address.DataCentre] == maxPerDataCentre || len(chosen) == maxAddresses {
+			spare = append(spare, c.address)
+			continue
+		}
+		count[c.address.DataCentre]++
+		chosen = append(chosen, c.address)
+	}
+	missing := min(maxAddresses-len(chosen), len(spare))
+	return append(chosen, spare[:missing]...)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -33,6 +33,8 @@
 	AcceptWhileLeaving time.Duration
 	// FetchTimeout is how long a fetch of departures may take before another peer is asked.
 	FetchTimeout time.Duration
+	// ForgetAfter is how long a process that is no member is remembered.
+	ForgetAfter time.Duration
 }
 
 // DefaultSettings returns the times of today's deployment.
@@ -48,6 +50,7 @@
 		AddressValidity:    10 * time.Second,
 		AcceptWhileLeaving: 11 * time.Second,
 		FetchTimeout:       time.Second,
+		ForgetAfter:        time.Hour,
 	}
 }
 
@@ -90,7 +93,7 @@
 // Action is what a tracker asks its caller to do.
 type Action interface{ action() }
 
-// WriteMember renews the own member record; report the outcome with HearStore.
+// WriteMember renews the own member record; call HearStore if the store answers.
 type WriteMember struct {
 	Member Member
 }
@@ -118,7 +121,7 @@
 // ResumeAccepting says that new requests are accepted again, because the data centre is back in service.
 type ResumeAccepting struct{}
 
-// Exit says that nothing is left to do and the process ends with status 0.
+// Exit says that nothing is left to do: once the write before it has ended, the process ends with status 0.
 type Exit struct{}
 
 func (WriteMember) action()     {}
@@ -132,86 +135,108 @@
 // Tracker decides who is a member, what is out of service, and which addresses callers get.
 type Tracker struct {
 	settings Settings
+	started  time.Time
+
+	state    State
+	bundle   int64
+	number   int64
+	writeDue time.Time
+	running  int
+	leaveAt  time.Time
+	outAt    time.Time
+	// stopped remembers which of StopAccepting and ResumeAccepting was returned last.
+	stopped bool
+
+	members    map[namer.Instance]*member
+	holders    map[namer.Holder]*known
+	list       map[namer.Instance]*listing
+	listAt     time.Time
+	storeHeard time.Time
+	beatHeard  time.Time
+
+	targets          map[namer.Target]Target
+	departureVersion int64
+	departure        Departure
+	fetch            *fetch
+	retryAt          map[namer.Instance]time.Time
 }
 
 // New returns the tracker of an instance that is starting.
-func New(settings Settings, _ time.Time) *Tracker {
+func New(settings Settings, now time.Time) *Tracker {
 	return &Tracker{
-		settings: settings,
+		settings:   settings,
+		started:    now,
+		state:      StateStarting,
+		writeDue:   now,
+		members:    map[namer.Instance]*member{},
+		holders:    map[namer.Holder]*known{},
+		list:       map[namer.Instance]*listing{},
+		storeHeard: now,
+		beatHeard:  now,
+		targets:    map[namer.Target]Target{},
+		retryAt:    map[namer.Instance]time.Time{},
 	}
 }
 
-// ObserveMember takes a member record read or watched in the store, with the version of the object.
-func (t *Tracker) ObserveMember(_ int64, _ Member, _ time.Time) []Action { return nil }
-
-// ForgetMember takes the deletion of a member record.
-func (t *Tracker) ForgetMember(_ namer.Instance, _ time.Time) {}
-
-// ObserveBeat takes a heartbeat, or the answer to one, from a peer.
-func (t *Tracker) ObserveBeat(_ Beat, _ time.Time) []Action { return nil }
-
-// ObserveList takes the platform's lagging list of instances.
-func (t *Tracker) ObserveList(_ []Listed, _ time.Time) {}
-
-// ObserveTarget takes a target record.
-func (t *Tracker) ObserveTarget(_ Target) {}
-
-// ForgetTarget takes the deletion of a target record.
-func (t *Tracker) ForgetTarget(_ namer.Target) {}
-
-// ObserveDeparture takes the departures at a version, from the store or a peer.
-func (t *Tracker) ObserveDeparture(_ int64, _ Departure, _ time.Time) []Action { return nil }
-
-// FailDeparture notes that a peer did not deliver its departures.
-func (t *Tracker) FailDeparture(_ namer.Holder, _ time.Time) []Action { return nil }
-
 // HearStore notes that the store answered any call.
-func (t *Tracker) HearStore(_ time.Time) {}
+func (t *Tracker) HearStore(now time.Time) {
+	t.storeHeard = latest(t.storeHeard, now)
+}
 
 // SetBundle notes the sequence in force, for the member record.
-func (t *Tracker) SetBundle(_ int64) {}
-
-// Serve changes the state from starting to serving.
-func (t *Tracker) Serve(_ time.Time) []Action { return nil }
-
-// Leave starts the planned stop of this instance.
-func (t *Tracker) Leave(_ time.Time) []Action { return nil }
+func (t *Tracker) SetBundle(sequence int64) {
+	t.bundle = sequence
+}
 
-// SetRunning notes how many requests and duties (such as ownership) still hold this instance back from leaving.
-func (t *Tracker) SetRunning(_ int, _ time.Time) []Action { return nil }
+// NextNumber returns the number for the next heartbeat; member records and heartbeats share one sequence.
+func (t *Tracker) NextNumber() int64 {
+	t.number++
+	return t.number
+}
 
 // Tick does what has become due; call it about once a second.
-func (t *Tracker) Tick(_ time.Time) []Action { return nil }
-
-// Addresses answers up to three addresses, nearest to the data centre first; number spreads successive answers.
-func (t *Tracker) Addresses(_ namer.DataCentre, _ uint64, _ time.Time) []Address { return nil }
-
-// Accepting reports whether new requests are accepted.
-func (t *Tracker) Accepting(_ time.Time) bool { return false }
+func (t *Tracker) Tick(now time.Time) []Action {
+	var actions []Action
+	if !now.Before(t.writeDue) && t.state != StateLeft {
+		actions = append(actions, t.write(now))
+	}
+	actions = append(actions, t.losePeers(now)...)
+	t.forgetHolders(now)
+	actions = append(actions, t.decideFetch(now)...)
+	return append(actions, t.decideLeaving(now)...)
+}
 
 // Isolated reports whether neither the store nor any peer was heard lately.
-func (t *Tracker) Isolated(_ time.Time) bool { return false }
-
-// ConfirmedGone reports whether the process can hold no authority any more.
-func (t *Tracker) ConfirmedGone(_ namer.Holder, _ time.Time) bool { return false }
-
-// Peers returns the other members, sorted by name.
-func (t *Tracker) Peers(_ time.Time) []Peer { return nil }
-
-// LiveEntries returns how many instances accept requests, this one included.
-func (t *Tracker) LiveEntries(_ time.Time) int { return 1 }
-
-// Targets returns the targets in service, sorted by id.
-func (t *Tracker) Targets() []Target { return nil }
-
-// TargetOut reports whether a target or its data centre is taken out of service.
-func (t *Tracker) TargetOut(_ namer.Target) bool { return false }
+func (t *Tracker) Isolated(now time.Time) bool {
+	return now.Sub(latest(t.storeHeard, t.beatHeard)) >= t.settings.IsolatedAfter
+}
 
-// Departures returns the departures in force and their version.
-func (t *Tracker) Departures() (int64, Departure) { return 0, Departure{} }
+// Self returns the own state.
+func (t *Tracker) Self() State {
+	return t.state
+}
 
-// Heard returns the last numbers heard, for heartbeats and the member record.
-func (t *Tracker) Heard() []Heard { return nil }
+func (t *Tracker) write(now time.Time) Action {
+	t.writeDue = now.Add(t.settings.RecordInterval)
+	return WriteMember{
+		Member: Member{
+			Holder:         t.settings.Self,
+			Cell:           t.settings.Cell,
+			DataCentre:     t.settings.DataCentre,
+			CallerAddress:  t.settings.CallerAddress,
+			PeerAddress:    t.settings.PeerAddress,
+			State:          t.state,
+			BundleSequence: t.bundle,
+			DepartureSeen:  t.departureVersion,
+			Number:         t.NextNumber(),
+			Heard:          t.Heard(),
+		},
+	}
+}
 
-// Self returns the own state.
-func (t *Tracker) Self() State { return StateStarting }
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
