--- /dev/null
+++ b/internal/emulator/keeper/keeper.go
@@ -0,0 +1,231 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/storer"
+)
+
+// errFault is the cause of the faults that a test ordered.
+var errFault = errors.New("fault ordered by the test")
+
+type key struct {
+	kind storer.Kind
+	name string
+}
+
+// Keeper keeps objects in memory; it implements storer.Store without watches.
+type Keeper struct {
+	mu      sync.Mutex
+	objects map[key]storer.Object
+	version int64
+	faults  Faults
+}
+
+// Faults are the faults ordered for the next calls.
+type Faults struct {
+	// Down fails every call; DownAfter fails every call after this many more writes, if above 0.
+	Down      bool
+	DownAfter int
+	// LoseAnswers lets this many writes take effect without an answer.
+	LoseAnswers int
+	// LoseWrites loses this many writes before they take effect.
+	LoseWrites int
+	// Throttle refuses this many writes.
+	Throttle int
+	// BeforeWrite runs once before the next write, as another operator would.
+	BeforeWrite func()
+}
+
+var _ storer.Store = (*Keeper)(nil)
+
+// New returns an empty store.
+func New() *Keeper {
+	return &Keeper{
+		objects: map[key]storer.Object{},
+	}
+}
+
+// Order replaces the faults of the next calls.
+func (k *Keeper) Order(f Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = f
+}
+
+// Put writes a value without a condition and returns its version.
+func (k *Keeper) Put(kind storer.Kind, name string, value any) int64 {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.set(kind, name, encoded)
+}
+
+// Get reads one object.
+func (k *Keeper) Get(_ context.Context, kind storer.Kind, name string) (storer.Object, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.faults.Down {
+		return storer.Object{}, unavailable()
+	}
+	object, ok := k.objects[key{kind, name}]
+	if !ok {
+		return storer.Object{}, &storer.NotFoundError{
+			Kind: kind,
+			Name: name,
+		}
+	}
+	return object, nil
+}
+
+// Create writes the value if no object has the name.
+func (k *Keeper) Create(_ context.Context, kind storer.Kind, name string, value json.RawMessage) (int64, error) {
+	return k.write(kind, name, 0, func() int64 {
+		return k.set(kind, name, value)
+	})
+}
+
+// Update writes the value if the object still has the version.
+func (k *Keeper) Update(_ context.Context, kind storer.Kind, name string, version int64, value json.RawMessage) (int64, error) {
+	return k.write(kind, name, version, func() int64 {
+		return k.set(kind, name, value)
+	})
+}
+
+// Delete removes the object if it still has the version.
+func (k *Keeper) Delete(_ context.Context, kind storer.Kind, name string, version int64) error {
+	_, err := k.write(kind, name, version, func() int64 {
+		delete(k.objects, key{kind, name})
+		k.version++
+		return k.version
+	})
+	return err
+}
+
+// List reads a page of objects whose names start with prefix and sort after the name.
+func (k *Keeper) List(_ context.Context, kind storer.Kind, prefix, after string, limit int) (storer.Listing, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.faults.Down {
+		return storer.Listing{}, unavailable()
+	}
+	listing := storer.Listing{
+		Version: k.version,
+	}
+	for _, name := range k.names(kind) {
+		if strings.HasPrefix(name, prefix) && name > after && len(listing.Items) < limit {
+			listing.Items = append(listing.Items, k.objects[key{kind, name}])
+		}
+	}
+	return listing, nil
+}
+
+// Watch is not supported.
+func (k *Keeper) Watch(context.Context, storer.Kind, int64, time.Duration) (storer.Changes, error) {
+	return storer.Changes{}, errors.ErrUnsupported
+}
+
+// Instances is an empty list.
+func (k *Keeper) Instances(context.Context) ([]storer.ListedInstance, error) {
+	return nil, nil
+}
+
+func (k *Keeper) names(kind storer.Kind) []string {
+	var names []string
+	for id := range maps.Keys(k.objects) {
+		if id.kind == kind {
+			names = append(names, id.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (k *Keeper) set(kind storer.Kind, name string, value json.RawMessage) int64 {
+	k.version++
+	k.objects[key{kind, name}] = storer.Object{
+		Kind:    kind,
+		Name:    name,
+		Version: k.version,
+		Value:   slices.Clone(value),
+	}
+	return k.version
+}
+
+func (k *Keeper) write(kind storer.Kind, name string, version int64, apply func() int64) (int64, error) {
+	k.interfere()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.faultBefore(); err != nil {
+		return 0, err
+	}
+	if current := k.objects[key{kind, name}]; current.Version != version {
+		return 0, &storer.ConflictError{
+			Kind:    kind,
+			Name:    name,
+			Current: current,
+		}
+	}
+	written := apply()
+	return written, k.faultAfter()
+}
+
+// interfere runs the other operator's write outside the lock.
+func (k *Keeper) interfere() {
+	k.mu.Lock()
+	other := k.faults.BeforeWrite
+	k.faults.BeforeWrite = nil
+	k.mu.Unlock()
+	if other != nil {
+		other()
+	}
+}
+
+func (k *Keeper) faultBefore() error {
+	f := &k.faults
+	switch {
+	case f.Down:
+		return unavailable()
+	case f.Throttle > 0:
+		f.Throttle--
+		return &storer.ThrottledError{}
+	case f.LoseWrites > 0:
+		f.LoseWrites--
+		k.countDown()
+		return unavailable()
+	}
+	return nil
+}
+
+func (k *Keeper) faultAfter() error {
+	k.countDown()
+	if k.faults.LoseAnswers > 0 {
+		k.faults.LoseAnswers--
+		return unavailable()
+	}
+	return nil
+}
+
+func (k *Keeper) countDown() {
+	if k.faults.DownAfter > 0 {
+		k.faults.DownAfter--
+		k.faults.Down = k.faults.DownAfter == 0
+	}
+}
+
+func unavailable() error {
+	return &storer.UnavailableError{
+		Sent:  true,
+		Cause: errFault,
+	}
+}
