--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -6,10 +6,7 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
-
-	"github.com/goccy/go-yaml/ast"
 )
 
 const (
@@ -21,9 +18,8 @@
 
 // checker keeps the first fault it finds.
 type checker struct {
-	file string
-	tree *ast.File
-	err  error
+	document *Document
+	err      error
 }
 
 func (c *checker) check(s Settings, instance bool) error {
@@ -42,12 +38,7 @@
 	if c.err != nil {
 		return
 	}
-	c.err = &FieldError{
-		File:    c.file,
-		Line:    lineOf(c.tree, strings.Split(field, ".")),
-		Field:   field,
-		Problem: fmt.Sprintf(problem, arguments...),
-	}
+	c.err = c.document.Fault(field, fmt.Sprintf(problem, arguments...))
 }
 
 func (c *checker) required(field, value string) {
--- a/internal/configurer/load.go
+++ b/internal/configurer/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -72,15 +73,10 @@
 }
 
 func parse(file string, content []byte, instance bool) (Settings, error) {
-	tree, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
-	if err != nil {
-		return Settings{}, fieldError(file, nil, err)
-	}
 	settings := Defaults()
-	err = yaml.UnmarshalWithOptions(content, &settings,
-		yaml.Strict(), yaml.CustomUnmarshaler(decodeKey), yaml.CustomUnmarshaler(decodeDuration))
+	document, err := Decode(file, content, &settings)
 	if err != nil {
-		return Settings{}, fieldError(file, tree, err)
+		return Settings{}, err
 	}
 	if settings.Advertise.Callers == "" {
 		settings.Advertise.Callers = settings.Listen.Callers
@@ -89,10 +85,42 @@
 		settings.Advertise.Peers = settings.Listen.Peers
 	}
 	c := checker{
+		document: document,
+	}
+	return settings, c.check(settings, instance || settings.Instance != "")
+}
+
+// Document is a decoded YAML file that knows the lines of its fields.
+type Document struct {
+	file string
+	tree *ast.File
+}
+
+// Decode reads YAML into a value, rejects unknown keys, and names line and field of a fault.
+func Decode(file string, content []byte, into any) (*Document, error) {
+	tree, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, fieldError(file, nil, err)
+	}
+	err = yaml.UnmarshalWithOptions(content, into,
+		yaml.Strict(), yaml.CustomUnmarshaler(decodeKey), yaml.CustomUnmarshaler(decodeDuration))
+	if err != nil {
+		return nil, fieldError(file, tree, err)
+	}
+	return &Document{
 		file: file,
 		tree: tree,
+	}, nil
+}
+
+// Fault returns the error of one field, given as keys or list positions joined by dots.
+func (d *Document) Fault(field, problem string) *FieldError {
+	return &FieldError{
+		File:    d.file,
+		Line:    lineOf(d.tree, strings.Split(field, ".")),
+		Field:   field,
+		Problem: problem,
 	}
-	return settings, c.check(settings, instance || settings.Instance != "")
 }
 
 // decodeKey reads a public key; a key that is not valid is left empty and reported by the check with its line.
--- a/internal/configurer/position.go
+++ b/internal/configurer/position.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml/ast"
@@ -47,6 +48,14 @@
 	}
 	node := tree.Docs[0].Body
 	for _, key := range keys {
+		if list, ok := node.(*ast.SequenceNode); ok {
+			node = element(list, key)
+			if node == nil {
+				return line
+			}
+			line = node.GetToken().Position.Line
+			continue
+		}
 		value := child(node, key)
 		if value == nil {
 			return line
@@ -57,6 +66,14 @@
 	return line
 }
 
+func element(list *ast.SequenceNode, key string) ast.Node {
+	i, err := strconv.Atoi(key)
+	if err != nil || i < 0 || i >= len(list.Values) {
+		return nil
+	}
+	return list.Values[i]
+}
+
 func child(node ast.Node, key string) *ast.MappingValueNode {
 	mapping, ok := node.(ast.MapNode)
 	if !ok {
--- /dev/null
+++ b/internal/factory/factory.go
@@ -0,0 +1,172 @@
+package factory
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"bergamothollow.example/bergamothollow/internal/changer"
+	"bergamothollow.example/bergamothollow/internal/configurer"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// DefaultSettingsFile is read unless --settings names another file.
+const DefaultSettingsFile = "bergamothollow.yaml"
+
+// pageSize keeps a page of objects of 1 MB each within the platform's timeout.
+const pageSize = 50
+
+// Factory holds what commands need.
+type Factory struct {
+	In           io.Reader
+	Out          io.Writer
+	Err          io.Writer
+	Clock        timer.Clock
+	SettingsFile string
+	// OpenStore connects to the platform; tests replace it.
+	OpenStore func(configurer.Settings) (storer.Store, error)
+}
+
+// New returns a factory of the system's clock and the platform's HTTP client.
+func New(in io.Reader, out, err io.Writer) *Factory {
+	return &Factory{
+		In:           in,
+		Out:          out,
+		Err:          err,
+		Clock:        timer.System{},
+		SettingsFile: DefaultSettingsFile,
+		OpenStore: func(s configurer.Settings) (storer.Store, error) {
+			return storer.NewHTTP(s.Platform.Address, s.Platform.Timeout)
+		},
+	}
+}
+
+// Settings reads and checks the settings file.
+func (f *Factory) Settings() (configurer.Settings, error) {
+	return configurer.Load(f.SettingsFile)
+}
+
+// Operator reads the settings and requires the operator's name.
+func (f *Factory) Operator() (configurer.Settings, error) {
+	settings, err := f.Settings()
+	if err == nil && settings.Operator == "" {
+		err = &configurer.FieldError{
+			File:    f.SettingsFile,
+			Line:    1,
+			Field:   "operator",
+			Problem: "required for changes: set it to your name",
+		}
+	}
+	return settings, err
+}
+
+// Store connects to the platform of the settings.
+func (f *Factory) Store() (storer.Store, error) {
+	settings, err := f.Settings()
+	if err != nil {
+		return nil, err
+	}
+	return f.OpenStore(settings)
+}
+
+// Changer returns the writer of conditional changes to the store.
+func (f *Factory) Changer(store storer.Store) changer.Changer {
+	return changer.Changer{
+		Store: store,
+		Clock: f.Clock,
+	}
+}
+
+// Printf writes to the output.
+func (f *Factory) Printf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(f.Out, format, arguments...)
+}
+
+// Warnf writes to the error stream.
+func (f *Factory) Warnf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(f.Err, format, arguments...)
+}
+
+// JSON prints a value as indented JSON.
+func (f *Factory) JSON(value any) error {
+	encoder := json.NewEncoder(f.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// Table prints rows in aligned columns, the first row being the heading.
+func (f *Factory) Table(rows [][]any) error {
+	w := tabwriter.NewWriter(f.Out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, cell)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+// Entry is a decoded object with its name and version.
+type Entry[V any] struct {
+	Name    string
+	Version int64
+	Value   V
+}
+
+// Read returns one decoded object; a missing object has version 0.
+func Read[V any](ctx context.Context, store storer.Store, kind storer.Kind, name string) (Entry[V], error) {
+	object, err := store.Get(ctx, kind, name)
+	if isMissing(err) {
+		return Entry[V]{
+			Name: name,
+		}, nil
+	}
+	if err != nil {
+		return Entry[V]{}, err
+	}
+	return decode[V](object)
+}
+
+// List returns all decoded objects of a kind, page by page.
+func List[V any](ctx context.Context, store storer.Store, kind storer.Kind) ([]Entry[V], error) {
+	var entries []Entry[V]
+	after := ""
+	for {
+		page, err := store.List(ctx, kind, "", after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		for _, object := range page.Items {
+			entry, err := decode[V](object)
+			if err != nil {
+				return nil, err
+			}
+			entries = append(entries, entry)
+			after = object.Name
+		}
+		if len(page.Items) < pageSize {
+			return entries, nil
+		}
+	}
+}
+
+func decode[V any](object storer.Object) (Entry[V], error) {
+	entry := Entry[V]{
+		Name:    object.Name,
+		Version: object.Version,
+	}
+	if err := json.Unmarshal(object.Value, &entry.Value); err != nil {
+		return Entry[V]{}, &ValueError{
+			Kind:  object.Kind,
+			Name:  object.Name,
+			Cause: err,
+		}
+	}
+	return entry, nil
+}
