--- /dev/null
+++ b/internal/cmd/datacentre/in/doc.go
@@ -0,0 +1,2 @@
+// Package restorer is the command that takes a data centre back into service.
+package restorer
--- /dev/null
+++ b/internal/cmd/target/out/doc.go
@@ -0,0 +1,2 @@
+// Package remover is the command that takes a target out of service.
+package remover
--- /dev/null
+++ b/internal/cmd/target/out/remover.go
@@ -0,0 +1,62 @@
+package remover
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"bergamothollow.example/bergamothollow/internal/departer"
+	"bergamothollow.example/bergamothollow/internal/factory"
+)
+
+const help = `bergamothollow target out <target> [--if-version N]
+
+Take a target out of service. It receives no new work within 3 seconds; running requests finish.
+The change is conditional: if somebody else changed the departures first, it exits
+with code 3 and names their change.
+
+Example:
+  bergamothollow target out engine-7
+`
+
+// Options are the arguments and flags of the command.
+type Options struct {
+	Factory   *factory.Factory
+	Name      string
+	IfVersion int64
+}
+
+// NewCommand returns the command.
+func NewCommand(f *factory.Factory) subcommands.Command {
+	o := Options{
+		Factory: f,
+	}
+	return &factory.Command{
+		Factory: f,
+		Verb:    "out",
+		Summary: "take a target out of service",
+		Help:    help,
+		Flags:   o.setFlags,
+		Run: func(ctx context.Context, arguments []string) error {
+			name, err := factory.OneArgument("a target", arguments)
+			if err != nil {
+				return err
+			}
+			o.Name = name
+			return run(ctx, o)
+		},
+	}
+}
+
+func (o *Options) setFlags(flags *flag.FlagSet) {
+	flags.Int64Var(&o.IfVersion, "if-version", departer.ReadVersion, "change only if the departures are at version `N` (default: the version just read)")
+}
+
+func run(ctx context.Context, o Options) error {
+	return departer.Run(ctx, o.Factory, departer.Request{
+		Subject:   departer.Target(o.Name),
+		Out:       true,
+		IfVersion: o.IfVersion,
+	})
+}
--- a/internal/factory/factory.go
+++ b/internal/factory/factory.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return Entry[V]{}, err
 	}
-	return decode[V](object)
+	return Decode[V](object)
 }
 
 // List returns all decoded objects of a kind, page by page.
@@ -143,7 +143,7 @@
 			return nil, err
 		}
 		for _, object := range page.Items {
-			entry, err := decode[V](object)
+			entry, err := Decode[V](object)
 			if err != nil {
 				return nil, err
 			}
@@ -156,7 +156,8 @@
 	}
 }
 
-func decode[V any](object storer.Object) (Entry[V], error) {
+// Decode decodes the value of an object.
+func Decode[V any](object storer.Object) (Entry[V], error) {
 	entry := Entry[V]{
 		Name:    object.Name,
 		Version: object.Version,
