--- a/cmd/bergamothollow/main.go
+++ b/cmd/bergamothollow/main.go
@@ -1,8 +1,25 @@
 // Command bergamothollow serves prompts and operates the fleet.
 package main
 
-import "net/http"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	registrar "bergamothollow.example/bergamothollow/internal/cmd"
+	"bergamothollow.example/bergamothollow/internal/factory"
+)
 
 func main() {
-	_ = http.StatusOK
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	f := factory.New(os.Stdin, os.Stdout, os.Stderr)
+	commands := registrar.Commands(f)
+	// The command serve is registered here: commands = append(commands, server.NewCommand(f)).
+	return f.Execute(ctx, commands, os.Args[1:])
 }
--- /dev/null
+++ b/internal/cmd/bundle/approve/doc.go
@@ -0,0 +1,2 @@
+// Package approver is the command that signs a bundle.
+package approver
--- /dev/null
+++ b/internal/cmd/bundle/diff/doc.go
@@ -0,0 +1,2 @@
+// Package comparer is the command that compares bundles.
+package comparer
--- /dev/null
+++ b/internal/cmd/bundle/roll/doc.go
@@ -0,0 +1,2 @@
+// Package publisher is the command that puts a bundle in force.
+package publisher
--- /dev/null
+++ b/internal/cmd/bundle/show/doc.go
@@ -0,0 +1,2 @@
+// Package presenter is the command that prints a bundle.
+package presenter
--- /dev/null
+++ b/internal/cmd/config/check/doc.go
@@ -0,0 +1,2 @@
+// Package checker is the command that checks a settings file.
+package checker
--- /dev/null
+++ b/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package registrar lists the commands.
+package registrar
--- /dev/null
+++ b/internal/cmd/key/create/doc.go
@@ -0,0 +1,2 @@
+// Package creator is the command that makes an Ed25519 key pair.
+package creator
--- /dev/null
+++ b/internal/cmd/refusals/doc.go
@@ -0,0 +1,2 @@
+// Package lister is the command that prints refusal records.
+package lister
--- /dev/null
+++ b/internal/cmd/target/add/doc.go
@@ -0,0 +1,2 @@
+// Package adder is the command that adds target records.
+package adder
--- a/internal/factory/factory.go
+++ b/internal/factory/factory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"text/tabwriter"
 
 	"bergamothollow.example/bergamothollow/internal/changer"
@@ -171,3 +172,12 @@
 	}
 	return entry, nil
 }
+
+// Write writes to a file, or to the output if no file is named.
+func (f *Factory) Write(file string, content []byte) error {
+	if file == "" {
+		_, err := f.Out.Write(content)
+		return err
+	}
+	return os.WriteFile(file, content, 0o644)
+}
--- /dev/null
+++ b/internal/keyfile/doc.go
@@ -0,0 +1,2 @@
+// Package keyfile reads and writes the private keys of approvers.
+package keyfile
