--- a/internal/cmd/bundle/roll/publisher.go
+++ b/internal/cmd/bundle/roll/publisher.go
@@ -58,7 +58,7 @@
 
 func (o *Options) setFlags(flags *flag.FlagSet) {
 	flags.StringVar(&o.File, "file", "", "signed bundle `file` written by bundle approve")
-	flags.Int64Var(&o.IfVersion, "if-version", bundler.ReadVersion, "roll only if the pointer is at version `N` (default: the version just read)")
+	flags.Int64Var(&o.IfVersion, "if-version", bundler.ReadVersion, "roll only if the pointer is at version `N` (-1: the version just read)")
 	flags.DurationVar(&o.Wait, "wait", 0, "how `long` to wait for members to confirm (0: do not wait)")
 	flags.BoolVar(&o.JSON, "json", false, "print the outcome as JSON")
 }
--- a/internal/cmd/datacentre/out/remover.go
+++ b/internal/cmd/datacentre/out/remover.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/subcommands"
 
-	"bergamothollow.example/bergamothollow/internal/departer"
 	"bergamothollow.example/bergamothollow/internal/factory"
+	"bergamothollow.example/bergamothollow/internal/withdrawer"
 )
 
 const help = `bergamothollow datacentre out <data-centre> [--if-version N] [--force]
@@ -51,13 +51,13 @@
 }
 
 func (o *Options) setFlags(flags *flag.FlagSet) {
-	flags.Int64Var(&o.IfVersion, "if-version", departer.ReadVersion, "change only if the departures are at version `N` (default: the version just read)")
+	flags.Int64Var(&o.IfVersion, "if-version", withdrawer.ReadVersion, "change only if the departures are at version `N` (-1: the version just read)")
 	flags.BoolVar(&o.Force, "force", false, "take out even the last data centre in service")
 }
 
 func run(ctx context.Context, o Options) error {
-	return departer.Run(ctx, o.Factory, departer.Request{
-		Subject:   departer.DataCentre(o.Name),
+	return withdrawer.Run(ctx, o.Factory, withdrawer.Request{
+		Subject:   withdrawer.DataCentre(o.Name),
 		Out:       true,
 		IfVersion: o.IfVersion,
 		Force:     o.Force,
--- a/internal/departer/departer.go
+++ b/internal/withdrawer/withdrawer.go
@@ -1,4 +1,4 @@
-package departer
+package withdrawer
 
 import (
 	"context"
