--- /dev/null
+++ b/internal/emulator/runner/runner.go
@@ -0,0 +1,144 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+const (
+	maxBodyBytes = 64 << 20
+	writeTimeout = time.Minute
+	// shutdownTimeout is short because clients keep idle connections open, which a shutdown waits for.
+	shutdownTimeout = 100 * time.Millisecond
+	slowReadBytes   = 4 << 10
+	slowReadDelay   = 50 * time.Millisecond
+)
+
+// Server is an HTTP server with its listener.
+type Server struct {
+	*server.Hertz
+	listener *listener
+}
+
+// Listen opens the address; port 0 chooses a free port.
+func Listen(address string) (*Server, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &listener{
+		Listener: inner,
+	}
+	hlog.SetLevel(hlog.LevelFatal)
+	// The standard transport takes a wrapped listener; the default one needs a file descriptor.
+	h := server.New(
+		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithWriteTimeout(writeTimeout),
+		server.WithExitWaitTime(shutdownTimeout),
+		server.WithDisablePrintRoute(true),
+	)
+	return &Server{
+		Hertz:    h,
+		listener: l,
+	}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// SetSlowReads makes the server read a few kilobytes at a time with pauses.
+func (s *Server) SetSlowReads(slow bool) {
+	s.listener.slow.Store(slow)
+}
+
+// Serve prints the address in one line to stdout and serves until SIGINT, SIGTERM or the end of ctx.
+func (s *Server) Serve(ctx context.Context, stdout io.Writer) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	failed := make(chan error, 1)
+	go func() {
+		failed <- s.Run()
+	}()
+	if _, err := fmt.Fprintln(stdout, s.Address()); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	ending, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = s.Shutdown(ending) // streams that are still open end with the process
+	return nil
+}
+
+// Respond writes the value as JSON.
+func Respond(c *app.RequestContext, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		c.String(500, err.Error())
+		return
+	}
+	c.Data(status, "application/json", body)
+}
+
+// RespondError writes {"error": message}.
+func RespondError(c *app.RequestContext, status int, message string) {
+	Respond(c, status, map[string]string{
+		"error": message,
+	})
+}
+
+// Drop closes the connection without a response.
+func Drop(c *app.RequestContext) {
+	_ = c.GetConn().Close()
+}
+
+type listener struct {
+	net.Listener
+	slow atomic.Bool
+}
+
+// Accept returns the next connection, which reads slowly while the listener is set so.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn: inner,
+		slow: &l.slow,
+	}, nil
+}
+
+type conn struct {
+	net.Conn
+	slow *atomic.Bool
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.slow.Load() {
+		time.Sleep(slowReadDelay)
+		p = p[:min(len(p), slowReadBytes)]
+	}
+	return c.Conn.Read(p)
+}
