--- /dev/null
+++ b/internal/emulator/answerer/doc.go
@@ -0,0 +1,2 @@
+// Package answerer computes the text that emulated models generate, so that any part of an answer can be checked.
+package answerer
--- /dev/null
+++ b/internal/emulator/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine emulates a model engine behind HTTP; its batching and memory are in the package stepper.
+package engine
