--- /dev/null
+++ b/pkg/elector/property_test.go
@@ -0,0 +1,205 @@
+package elector_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+const (
+	coldLimit  = modelCapacity * 15 / 100
+	settleTime = 60 * time.Second
+)
+
+// usable is the part of an engine's memory that may be allocated.
+func (e *engine) usable() int {
+	if e.fencing {
+		return modelCapacity
+	}
+	return modelCapacity * 96 / 100
+}
+
+type share struct {
+	holder namer.Holder
+	owner  namer.Holder
+}
+
+// mayHold returns the most that requests, running or still to start under what was granted, can hold.
+func (w *world) mayHold(e *engine) int {
+	sum := 0
+	quotas := map[share]int{}
+	running := map[share]int{}
+	for _, r := range e.running {
+		if r.oneOff {
+			sum += r.tokens
+			continue
+		}
+		running[share{
+			holder: r.holder,
+			owner:  r.grantor,
+		}] += r.tokens
+	}
+	for _, g := range w.grants {
+		if g.target != e.index || !w.startable(g, e) {
+			continue
+		}
+		if g.request != "" {
+			sum += g.tokens
+			continue
+		}
+		s := share{
+			holder: g.holder,
+			owner:  g.owner,
+		}
+		quotas[s] = max(quotas[s], g.tokens)
+	}
+	for s, used := range running {
+		quotas[s] = max(quotas[s], used)
+	}
+	for _, q := range quotas {
+		sum += q
+	}
+	return sum
+}
+
+// startable reports whether a request can still start under a grant.
+func (w *world) startable(g issued, e *engine) bool {
+	n := g.recipient
+	if !n.alive || n.holder != g.holder {
+		return false
+	}
+	if e.fencing && g.epoch < e.epoch && !w.off.engineFencing {
+		return false
+	}
+	if g.boot != e.bootID() && !w.off.bootCheck {
+		return false
+	}
+	now := n.local()
+	if w.off.sentTimeExpiry {
+		now = now.Add(-2 * modelStep)
+	}
+	return now.Before(g.expires)
+}
+
+func (w *world) prune() {
+	kept := w.grants[:0]
+	for _, g := range w.grants {
+		if w.startable(g, w.engines[g.target]) {
+			kept = append(kept, g)
+		}
+	}
+	w.grants = kept
+}
+
+func (e *engine) held() int {
+	held := 0
+	for _, r := range e.running {
+		held += r.tokens
+	}
+	return held
+}
+
+// check returns the first broken property.
+func (w *world) check() error {
+	w.prune()
+	for _, e := range w.engines {
+		if may := w.mayHold(e); may > e.usable() {
+			return fmt.Errorf("%v: %s: %d of %d tokens may be held", w.now, e.id, may, e.usable())
+		}
+		if held := e.held(); held > e.usable() {
+			return fmt.Errorf("%v: %s: %d of %d tokens are held", w.now, e.id, held, e.usable())
+		}
+		if held := e.held(); w.now < e.coldUntil && held > coldLimit {
+			return fmt.Errorf("%v: %s: %d tokens are held by a cold engine", w.now, e.id, held)
+		}
+	}
+	return nil
+}
+
+// run plays the schedule, then heals everything, ends all requests and looks for what is left.
+func (w *world) run() error {
+	for w.now < w.end {
+		w.step()
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	w.quiet = true
+	w.faults = nil
+	for w.now < w.end+settleTime {
+		w.step()
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return w.leftovers()
+}
+
+func (w *world) leftovers() error {
+	for _, e := range w.engines {
+		if len(e.running) > 0 {
+			return fmt.Errorf("%s: %d requests are left at the engine: %v", e.id, len(e.running), e.list())
+		}
+		owners := 0
+		for _, n := range w.instances {
+			if n.shares[e.index] == 0 {
+				continue
+			}
+			owners++
+			if s := n.allocs[e.index].Summary(n.local()); s.ReservedTokens != 0 || s.Reservations != 0 || s.UnknownUseTokens != 0 {
+				return fmt.Errorf("%s: %v still counts %+v", e.id, n.holder, s)
+			}
+		}
+		if owners != 1 {
+			return fmt.Errorf("%s: %d instances have authority after all faults ended", e.id, owners)
+		}
+	}
+	for _, n := range w.instances {
+		if n.res.Held() != 0 {
+			return fmt.Errorf("%v holds %d attempts", n.holder, n.res.Held())
+		}
+	}
+	return nil
+}
+
+func drawFaults(t *rapid.T, kinds []faultKind) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			At:     time.Duration(rapid.IntRange(0, 200).Draw(t, "at")) * modelStep,
+			Length: time.Duration(rapid.IntRange(1, 120).Draw(t, "length")) * modelStep,
+			Who:    rapid.IntRange(0, 11).Draw(t, "who"),
+		}
+	}), 0, 6).Draw(t, "faults")
+}
+
+func allFaults() []faultKind {
+	kinds := make([]faultKind, 0, faultKinds)
+	for k := range faultKinds {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// TestCapacityIsNeverExceeded guards against two instances allocating the same memory, against load beyond 15%
+// on cold engines, and against memory or ownership that is lost for good.
+func TestCapacityIsNeverExceeded(t *testing.T) {
+	for worker := range 4 {
+		t.Run(fmt.Sprint(worker), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				seed := rapid.Uint64Range(0, math.MaxUint64).Draw(t, "seed")
+				instances := rapid.IntRange(2, 4).Draw(t, "instances")
+				w := newWorld(seed, drawFaults(t, allFaults()), without{}, instances)
+				if err := w.run(); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -478,6 +478,9 @@
 	if len(a.targets) == 1 {
 		return append(r.release(a.id), actions...)
 	}
+	if _, ok := r.asking[a.id]; ok {
+		return append(r.release(a.id), refused(a.id, id, refuser.TargetFailed))
+	}
 	for i, p := range a.parts {
 		if p.target != id {
 			continue
