--- a/internal/configurer/position.go
+++ b/internal/configurer/position.go
@@ -13,6 +13,9 @@
 	field  string
 }
 
+// dotted turns the library's list positions into the form of Fault, targets[0].id into targets.0.id.
+var dotted = strings.NewReplacer("[", ".", "]", "")
+
 // Visit implements ast.Visitor.
 func (f *fieldFinder) Visit(node ast.Node) ast.Visitor {
 	value, ok := node.(*ast.MappingValueNode)
@@ -21,7 +24,7 @@
 	}
 	for _, part := range []ast.Node{value.Key, value.Value} {
 		if part.GetToken().Position.Offset == f.offset {
-			f.field = strings.TrimPrefix(value.GetPath(), "$.")
+			f.field = dotted.Replace(strings.TrimPrefix(value.GetPath(), "$."))
 		}
 	}
 	return f
--- a/internal/factory/exit.go
+++ b/internal/factory/exit.go
@@ -85,9 +85,9 @@
 	case errors.As(err, &unknown):
 		return ""
 	case errors.As(err, &throttled):
-		return ": nothing was changed, try again in a second"
+		return ": the failed call changed nothing, try again in a second"
 	case errors.As(err, &unavailable):
-		return ": nothing was changed, try again when the platform answers"
+		return ": the failed call changed nothing, try again when the platform answers"
 	}
 	return ""
 }
