--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -19,6 +19,7 @@
 	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/internal/keyfile"
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/roller"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/tracker"
@@ -341,3 +342,17 @@
 		shouldExit(b.run("ana", "key create --out new.pem@"), 1, "name a new file")
 	})
 }
+
+// Guards against reasons that the operators' page does not explain.
+func TestOperatingPage(t *testing.T) {
+	Convey("every reason is on the page", t, func() {
+		page, err := os.ReadFile("../../docs/operating.md")
+		So(err, ShouldBeNil)
+		for _, reason := range refuser.Reasons() {
+			So(string(page), ShouldContainSubstring, "| `"+string(reason)+"` |")
+		}
+		for _, reason := range refuser.RetryReasons() {
+			So(string(page), ShouldContainSubstring, "`"+string(reason)+"`")
+		}
+	})
+}
--- a/internal/configurer/load_test.go
+++ b/internal/configurer/load_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -89,3 +90,28 @@
 		shouldFailAt(err, 1, "instance")
 	})
 }
+
+// Guards against keys that the page of settings does not list.
+func TestSettingsPage(t *testing.T) {
+	Convey("every key is on the page", t, func() {
+		page, err := os.ReadFile("../../docs/settings.md")
+		So(err, ShouldBeNil)
+		for _, key := range keys(reflect.TypeFor[Settings](), "") {
+			So(string(page), ShouldContainSubstring, "| `"+key+"` |")
+		}
+	})
+}
+
+func keys(t reflect.Type, prefix string) []string {
+	var all []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name := prefix + field.Tag.Get("yaml")
+		if field.Type.Kind() == reflect.Struct {
+			all = append(all, keys(field.Type, name+".")...)
+			continue
+		}
+		all = append(all, name)
+	}
+	return all
+}
