--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,314 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/phuslu/log"
+
+	"bergamothollow.example/bergamothollow/internal/controller"
+	"bergamothollow.example/bergamothollow/pkg/deduplicator"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+const dialTimeout = 500 * time.Millisecond
+
+// Control is what calls need of the control state.
+type Control interface {
+	PlaceCall(ctx context.Context, request *controller.CallRequest) (controller.CallPlacement, error)
+	EndCall(target namer.Target)
+}
+
+// Options are what a caller is built from.
+type Options struct {
+	Self    namer.Holder
+	Control Control
+	Store   *storer.Client
+	Clock   timer.Clock
+	Log     *log.Logger
+	// Retried counts a repeated attempt.
+	Retried func(refuser.RetryReason)
+}
+
+// Caller calls plain services.
+type Caller struct {
+	options  Options
+	client   *client.Client
+	settler  *settler
+	attempts atomic.Int64
+}
+
+// Call is one call of a service.
+type Call struct {
+	Request *controller.CallRequest
+	Key     string
+	Body    []byte
+}
+
+// Answer is what the service answered, or the recorded answer of the call's one run.
+type Answer struct {
+	Outcome  deduplicator.Outcome
+	Replayed bool
+}
+
+// New returns a caller; its settler runs until the context ends.
+func New(ctx context.Context, o Options) (*Caller, error) {
+	c, err := client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithDialer(standard.NewDialer()),
+		client.WithMaxConnsPerHost(256),
+	)
+	if err != nil {
+		return nil, err
+	}
+	s := newSettler(o)
+	go s.run(ctx)
+	return &Caller{
+		options: o,
+		client:  c,
+		settler: s,
+	}, nil
+}
+
+// Call places the call and sends it: once if it may not be repeated, else until an answer comes or its time is over.
+func (c *Caller) Call(ctx context.Context, call Call) (Answer, error) {
+	placement, err := c.options.Control.PlaceCall(ctx, call.Request)
+	if err != nil {
+		return Answer{}, err
+	}
+	if placement.Repeatable {
+		return c.repeat(ctx, call, placement)
+	}
+	defer c.options.Control.EndCall(placement.Target)
+	if call.Key == "" {
+		return Answer{}, &refuser.Refusal{
+			Reason:  refuser.MalformedRequest,
+			Ran:     refuser.RanNo,
+			Message: "this call may not be repeated: send an Idempotency-Key",
+		}
+	}
+	// The call goes on when its caller goes away: its outcome must be recorded either way.
+	return c.once(context.WithoutCancel(ctx), call, placement)
+}
+
+// repeat sends a call that may be repeated, to another target after each failure.
+func (c *Caller) repeat(ctx context.Context, call Call, placement controller.CallPlacement) (Answer, error) {
+	for {
+		outcome, sent, err := c.send(ctx, call, placement, placement.Deadline)
+		c.options.Control.EndCall(placement.Target)
+		if err == nil {
+			return Answer{
+				Outcome: outcome,
+			}, nil
+		}
+		if !c.options.Clock.Now().Before(placement.Deadline) || ctx.Err() != nil {
+			return Answer{}, failed(sent, err)
+		}
+		c.options.Retried(retryReason(sent))
+		call.Request.Exclude = append(call.Request.Exclude, placement.Target)
+		deadline := placement.Deadline
+		placement, err = c.options.Control.PlaceCall(ctx, call.Request)
+		if err != nil {
+			return Answer{}, failed(sent, err)
+		}
+		placement.Deadline = deadline
+	}
+}
+
+func retryReason(sent bool) refuser.RetryReason {
+	if sent {
+		return refuser.StreamBroken
+	}
+	return refuser.ConnectFailed
+}
+
+func failed(sent bool, cause error) error {
+	ran := refuser.RanNo
+	if sent {
+		ran = refuser.RanUnknown
+	}
+	return &refuser.Refusal{
+		Reason:  refuser.TargetFailed,
+		Ran:     ran,
+		Message: "no target answered the call: " + cause.Error(),
+	}
+}
+
+// once drives the state machine of a call that may not be repeated.
+func (c *Caller) once(ctx context.Context, call Call, placement controller.CallPlacement) (Answer, error) {
+	machine := deduplicator.NewCall(deduplicator.Request{
+		Name:     deduplicator.Name(call.Request.Customer, call.Key),
+		Digest:   deduplicator.Digest(call.Request.Service, call.Request.Call, call.Body),
+		Deadline: placement.Deadline,
+		Holder:   c.options.Self,
+		Attempt:  c.attempts.Add(1),
+	})
+	var answer *deduplicator.Answer
+	events := []deduplicator.Event{deduplicator.Arrive{}}
+	for len(events) > 0 {
+		event := events[0]
+		events = events[1:]
+		for _, a := range machine.Step(event, c.options.Clock.Now()) {
+			switch a := a.(type) {
+			case deduplicator.Answer:
+				answer = &a
+			case deduplicator.Settle:
+				c.settler.add(a)
+			default:
+				events = append(events, c.perform(ctx, a, call, placement))
+			}
+		}
+	}
+	return result(answer)
+}
+
+func result(answer *deduplicator.Answer) (Answer, error) {
+	switch {
+	case answer == nil:
+		return Answer{}, &refuser.Refusal{
+			Reason:  refuser.OutcomeUnknown,
+			Ran:     refuser.RanUnknown,
+			Message: "the call ended without an outcome",
+		}
+	case answer.Refusal != nil:
+		return Answer{}, answer.Refusal
+	default:
+		return Answer{
+			Outcome:  *answer.Outcome,
+			Replayed: answer.Replayed,
+		}, nil
+	}
+}
+
+func (c *Caller) perform(ctx context.Context, action deduplicator.Action, call Call, placement controller.CallPlacement) deduplicator.Event {
+	switch a := action.(type) {
+	case deduplicator.Create:
+		return c.write(ctx, a.Name, 0, a.Record)
+	case deduplicator.Update:
+		return c.write(ctx, a.Name, a.Version, a.Record)
+	case deduplicator.Read:
+		return c.read(ctx, a.Name)
+	case deduplicator.Send:
+		return c.sendOnce(ctx, call, placement, a.Before)
+	default:
+		return deduplicator.Elapse{}
+	}
+}
+
+// write makes a single call to the store: the state machine itself resolves a lost answer.
+func (c *Caller) write(ctx context.Context, name string, version int64, record deduplicator.Record) deduplicator.Event {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return deduplicator.WriteRefused{}
+	}
+	store := c.options.Store.Once(storer.PriorityNormal)
+	var written int64
+	if version == 0 {
+		written, err = store.Create(ctx, storer.KindCall, name, value)
+	} else {
+		written, err = store.Update(ctx, storer.KindCall, name, version, value)
+	}
+	return writeEvent(written, err)
+}
+
+func writeEvent(written int64, err error) deduplicator.Event {
+	var conflict *storer.ConflictError
+	var throttled *storer.ThrottledError
+	var budget *storer.BudgetError
+	var unavailable *storer.UnavailableError
+	switch {
+	case err == nil:
+		return deduplicator.Written{
+			Version: written,
+		}
+	case errors.As(err, &conflict):
+		return conflictEvent(conflict)
+	case errors.As(err, &throttled), errors.As(err, &budget):
+		return deduplicator.WriteRefused{}
+	case errors.As(err, &unavailable) && !unavailable.Sent:
+		return deduplicator.WriteRefused{}
+	default:
+		return deduplicator.WriteLost{}
+	}
+}
+
+func conflictEvent(conflict *storer.ConflictError) deduplicator.Event {
+	event := deduplicator.Conflict{
+		Exists:  conflict.Current.Version > 0,
+		Version: conflict.Current.Version,
+	}
+	if event.Exists && json.Unmarshal(conflict.Current.Value, &event.Record) != nil {
+		return deduplicator.WriteLost{}
+	}
+	return event
+}
+
+func (c *Caller) read(ctx context.Context, name string) deduplicator.Event {
+	object, err := c.options.Store.Once(storer.PriorityNormal).Get(ctx, storer.KindCall, name)
+	var missing *storer.NotFoundError
+	if errors.As(err, &missing) {
+		return deduplicator.ReadBack{}
+	}
+	event := deduplicator.ReadBack{
+		Exists:  true,
+		Version: object.Version,
+	}
+	if err != nil || json.Unmarshal(object.Value, &event.Record) != nil {
+		return deduplicator.ReadFailed{}
+	}
+	return event
+}
+
+func (c *Caller) sendOnce(ctx context.Context, call Call, placement controller.CallPlacement, before time.Time) deduplicator.Event {
+	outcome, sent, err := c.send(ctx, call, placement, before)
+	switch {
+	case err == nil:
+		return deduplicator.Answered{
+			Outcome: outcome,
+		}
+	case sent:
+		return deduplicator.SendFailed{}
+	default:
+		return deduplicator.NotSent{}
+	}
+}
+
+// send makes one call on a new connection; sent tells whether a byte of it may have left.
+func (c *Caller) send(ctx context.Context, call Call, placement controller.CallPlacement, before time.Time) (deduplicator.Outcome, bool, error) {
+	if !c.options.Clock.Now().Before(before) {
+		return deduplicator.Outcome{}, false, context.DeadlineExceeded
+	}
+	req := protocol.AcquireRequest()
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(http.MethodPost)
+	req.SetRequestURI("http://" + placement.Address + "/v1/call/" + url.PathEscape(call.Request.Call))
+	req.Header.Set("Idempotency-Key", call.Key)
+	req.Header.SetContentTypeBytes([]byte("application/json"))
+	// A kept connection may have been closed by the service meanwhile, and then nobody could tell whether the call ran.
+	req.SetConnectionClose()
+	req.SetBody(call.Body)
+	if err := c.client.DoDeadline(ctx, req, resp, before); err != nil {
+		var operation *net.OpError
+		dialed := !errors.As(err, &operation) || operation.Op != "dial"
+		return deduplicator.Outcome{}, dialed, err
+	}
+	return deduplicator.Outcome{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        append([]byte(nil), resp.Body()...),
+	}, true, nil
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,15 +69,15 @@
 	member    memberState
 	table     tableState
 	schedule  schedule
-	traffic   traffic
+	traffic   *traffic
 	watch     context.CancelFunc
 	answers   uint64
 	exited    bool
 	accepting bool
 }
 
-// New returns a controller; Run starts it.
-func New(o Options) (*Controller, error) {
+// New returns a controller that works until the context ends; Run starts it.
+func New(ctx context.Context, o Options) (*Controller, error) {
 	pool, err := ants.NewPool(controlWorkers, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, err
@@ -88,6 +88,7 @@
 		inbox:     make(chan message, inboxSize),
 		pool:      pool,
 		done:      make(chan struct{}),
+		ctx:       ctx,
 		tracker:   tracker.New(trackerSettings(o), now),
 		elector:   elector.New(electorOptions(o), now),
 		follower:  roller.NewFollower(followerSettings(o), now),
@@ -96,9 +97,9 @@
 		owned:     map[namer.Target]*allocator.Allocator{},
 		targets:   map[namer.Target]tracker.Target{},
 		boots:     map[namer.Target]string{},
-		traffic:   newTraffic(o),
 		accepting: true,
 	}
+	c.traffic = newTraffic(c)
 	return c, nil
 }
 
@@ -138,9 +139,8 @@
 	return c.done
 }
 
-// Run handles messages until the context ends.
-func (c *Controller) Run(ctx context.Context) {
-	c.ctx = ctx
+// Run handles messages until the context of New ends.
+func (c *Controller) Run() {
 	defer c.pool.Release()
 	c.tick(c.options.Clock.Now())
 	next := c.options.Clock.After(tickInterval)
@@ -151,7 +151,7 @@
 		case <-next:
 			next = c.options.Clock.After(tickInterval)
 			c.tick(c.options.Clock.Now())
-		case <-ctx.Done():
+		case <-c.ctx.Done():
 			return
 		}
 	}
@@ -198,7 +198,7 @@
 
 func (c *Controller) handle(m message, now time.Time) {
 	switch m := m.(type) {
-	case admit, abandoned, firstToken, released, refused, callWanted, callEnded:
+	case *admit, abandoned, firstToken, released, refused, callWanted, callEnded:
 		c.handleTraffic(m, now)
 	case beatHeard, beatAnswered, reserveHeard, reserveAnswered, releaseHeard, confirmHeard, confirmAnswered:
 		c.handlePeer(m, now)
@@ -210,6 +210,8 @@
 		c.handleEngine(m, now)
 	case addressesWanted:
 		m.reply <- c.addresses(now)
+	case readyWanted:
+		m.reply <- c.closedToNewWork(now) == nil
 	case leaveWanted:
 		c.leave(now)
 	}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -36,6 +36,7 @@
 			c.options.Log.Warn().Str("instance", a.Holder.String()).Msg("tracker: member lost")
 		case tracker.ApplyDeparture:
 			c.options.Log.Info().Int64("version", a.Version).Str("change", a.Departure.Change).Msg("tracker: departures changed")
+			c.traffic.setDeparture(a.Departure)
 		case tracker.StopAccepting:
 			c.options.Log.Info().Msg("tracker: new requests are refused from now on")
 			c.accepting = false
@@ -76,6 +77,7 @@
 			continue
 		}
 		beat := c.beat(number, now)
+		beat.Heard = c.elector.Heard(p.Holder, now)
 		beat.Demand = c.demand(p.Holder, now)
 		c.sendHeartbeat(p, beat, now)
 	}
@@ -106,7 +108,6 @@
 		TableVersion:     c.elector.TableVersion(),
 		StoreAgeMS:       storeAgeMS(c.storeAge(now)),
 		Number:           number,
-		Heard:            c.elector.Heard(now),
 	}
 	for _, t := range slices.Sorted(maps.Keys(c.owned)) {
 		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
@@ -151,6 +152,7 @@
 		c.takeBeat(m.beat, now)
 		c.takeDemand(m.beat, now)
 		answer := c.beat(c.nextNumber(now), now)
+		answer.Heard = c.elector.Heard(m.beat.Sender, now)
 		answer.Quotas = c.quotasFor(m.beat.Sender, now)
 		m.reply <- answer
 	case beatAnswered:
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -24,16 +23,21 @@
 	err       error
 }
 
+// callAdmission is the answer to a call of a plain service.
+type callAdmission struct {
+	placement CallPlacement
+	err       error
+}
+
 // Messages of the traffic part.
 type (
 	admit struct {
-		ctx     context.Context
 		request *Request
 		failure *Failure
 		reply   chan<- admission
 	}
 	abandoned struct {
-		request *Request
+		admission *admit
 	}
 	firstToken struct {
 		placement *Placement
@@ -58,6 +62,9 @@
 	addressesWanted struct {
 		reply chan<- AddressAnswer
 	}
+	readyWanted struct {
+		reply chan<- bool
+	}
 	leaveWanted struct{}
 )
 
@@ -185,7 +192,7 @@
 	}
 )
 
-func (admit) message()            {}
+func (*admit) message()           {}
 func (abandoned) message()        {}
 func (firstToken) message()       {}
 func (released) message()         {}
@@ -193,6 +200,7 @@
 func (callWanted) message()       {}
 func (callEnded) message()        {}
 func (addressesWanted) message()  {}
+func (readyWanted) message()      {}
 func (leaveWanted) message()      {}
 func (beatHeard) message()        {}
 func (beatAnswered) message()     {}
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -400,7 +400,9 @@
 }
 
 func (c *Controller) ownReserveAnswered(request namer.Request, target namer.Target, answer messenger.ReserveAnswer, now time.Time) {
+	owner, _ := c.elector.Owner(target, now)
 	c.reserverActions(c.reserver.Handle(reserver.OwnerAnswered{
+		Owner:   owner,
 		Request: request,
 		Target:  target,
 		Granted: answer.Granted,
@@ -427,9 +429,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case reserver.Granted:
-			c.traffic.granted(c, a, now)
+			c.traffic.granted(a, now)
 		case reserver.Refused:
-			c.traffic.refused(c, a, now)
+			c.traffic.reserveRefused(a, now)
 		case reserver.AskOwner:
 			c.askOwner(a, now)
 		case reserver.ReleaseAtOwner:
--- a/internal/controller/request.go
+++ b/internal/controller/request.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"strconv"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -48,14 +47,6 @@
 	TokenWithin      time.Duration
 }
 
-// PartID is the request id under which the target of a part knows the attempt.
-func (p *Placement) PartID(part int) string {
-	if part == 0 {
-		return p.Attempt
-	}
-	return p.Attempt + ".part" + strconv.Itoa(part)
-}
-
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -87,8 +78,21 @@
 	ValidForMS int64     `json:"valid_for_ms"`
 }
 
-// CallTarget is a plain service's target.
-type CallTarget struct {
-	Target  namer.Target
-	Address string
+// CallRequest is one call of a plain service.
+type CallRequest struct {
+	ID       namer.Request
+	Customer namer.Customer
+	Service  namer.Service
+	Call     string
+	Patience time.Duration
+	// Exclude lists targets that already failed the call.
+	Exclude []namer.Target
+}
+
+// CallPlacement names the target of a call.
+type CallPlacement struct {
+	Target     namer.Target
+	Address    string
+	Repeatable bool
+	Deadline   time.Time
 }
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -257,7 +257,7 @@
 	}
 	c.member.writing = true
 	member.Number = c.nextNumber(now)
-	member.Heard = c.elector.Heard(now)
+	member.Heard = c.elector.Heard(namer.Holder{}, now)
 	member.TableVersion = c.elector.TableVersion()
 	value, err := json.Marshal(member)
 	if err != nil {
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -187,7 +187,7 @@
 func (s *session) completion(placement *controller.Placement, part int) streamer.Completion {
 	p := placement.Parts[part]
 	completion := streamer.Completion{
-		RequestID:    placement.PartID(part),
+		RequestID:    placement.Attempt,
 		Model:        s.request.Model,
 		Prompt:       s.request.Prompt,
 		PromptTokens: s.request.PromptTokens,
@@ -276,7 +276,7 @@
 
 // deliver hands one token to the caller if it belongs to this attempt and is the next one.
 func (s *session) deliver(placement *controller.Placement, token streamer.Token) error {
-	if token.RequestID != placement.PartID(0) || token.TokenIndex != s.next {
+	if token.RequestID != placement.Attempt || token.TokenIndex != s.next {
 		s.server.options.Metrics.LateEvents.Inc()
 		return nil
 	}
@@ -314,7 +314,7 @@
 // cancelParts frees the attempt's memory at its targets; what cannot be reached is found later by the owner's reconciliation.
 func (s *session) cancelParts(placement *controller.Placement) {
 	for i := range placement.Parts {
-		id := placement.PartID(i)
+		id := placement.Attempt
 		address := placement.Parts[i].Address
 		err := s.server.options.Pool.Submit(func() {
 			if err := s.server.options.Engines.Cancel(context.Background(), address, id); err != nil {
