--- a/pkg/reconciler/reconciler.go
+++ b/pkg/reconciler/reconciler.go
@@ -1,6 +1,8 @@
 package reconciler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -71,32 +73,212 @@
 // Reconciler decides which order each owned target gets next.
 type Reconciler struct {
 	settings Settings
+	bucket   Bucket
+	wanted   map[namer.Target][]roller.Order
+	owned    map[namer.Target]*target
+	number   int64
+	// turn is the target after which the next load is chosen, so that one target cannot use all tokens.
+	turn namer.Target
+}
+
+// target is what is known of one owned target.
+type target struct {
+	epoch namer.Epoch
+	boot  string
+	stale bool
+	// confirmed are the orders that the target accepted since its boot.
+	confirmed map[roller.Order]bool
+	open      *openOrder
+	failures  int
+	retryAt   time.Time
+}
+
+type openOrder struct {
+	number   int64
+	order    roller.Order
+	deadline time.Time
 }
 
 // New returns a reconciler that owns no target; bucket limits loads from the weight store.
-func New(settings Settings, _ Bucket) *Reconciler {
+func New(settings Settings, bucket Bucket) *Reconciler {
 	return &Reconciler{
 		settings: settings,
+		bucket:   bucket,
+		owned:    map[namer.Target]*target{},
 	}
 }
 
 // Want replaces the wanted state of all targets.
-func (r *Reconciler) Want(_ map[namer.Target][]roller.Order, _ time.Time) []Action { return nil }
+func (r *Reconciler) Want(orders map[namer.Target][]roller.Order, now time.Time) []Action {
+	r.wanted = orders
+	for id, t := range r.owned {
+		t.forgetUnwanted(orders[id])
+	}
+	return r.Tick(now)
+}
 
-// Own notes that this instance owns the target at an epoch.
-func (r *Reconciler) Own(_ namer.Target, _ namer.Epoch, _ time.Time) []Action { return nil }
+// Own notes that this instance owns the target at an epoch; an older epoch changes nothing.
+func (r *Reconciler) Own(id namer.Target, epoch namer.Epoch, now time.Time) []Action {
+	t := r.owned[id]
+	switch {
+	case t == nil:
+		r.owned[id] = &target{
+			epoch:     epoch,
+			confirmed: map[roller.Order]bool{},
+		}
+	case epoch > t.epoch:
+		t.epoch = epoch
+		t.stale = false
+		t.open = nil
+	default:
+		return nil
+	}
+	return r.Tick(now)
+}
 
 // Disown notes that this instance does not own the target any more.
-func (r *Reconciler) Disown(_ namer.Target) {}
+func (r *Reconciler) Disown(id namer.Target) {
+	delete(r.owned, id)
+}
 
 // ObserveBoot takes the boot id in a target's load report; a new boot forgets what the target had confirmed.
-func (r *Reconciler) ObserveBoot(_ namer.Target, _ string, _ time.Time) []Action { return nil }
+func (r *Reconciler) ObserveBoot(id namer.Target, boot string, now time.Time) []Action {
+	t := r.owned[id]
+	if t == nil || t.boot == boot {
+		return nil
+	}
+	if t.boot != "" {
+		t.confirmed = map[roller.Order]bool{}
+		t.open = nil
+	}
+	t.boot = boot
+	return r.Tick(now)
+}
 
-// Finish takes the outcome of the order with the number.
-func (r *Reconciler) Finish(_ namer.Target, _ int64, _ Result, _ time.Time) []Action { return nil }
+// Finish takes the outcome of the order with the number; an answer to an earlier order changes nothing.
+func (r *Reconciler) Finish(id namer.Target, number int64, result Result, now time.Time) []Action {
+	t := r.owned[id]
+	if t == nil || t.open == nil || t.open.number != number {
+		return nil
+	}
+	order := t.open.order
+	t.open = nil
+	switch result {
+	case ResultDone:
+		t.confirm(order, r.wanted[id])
+	case ResultStale:
+		t.stale = true
+		return []Action{ReportStale{
+			Target: id,
+			Epoch:  t.epoch,
+		}}
+	default:
+		r.backOff(t, now)
+	}
+	return r.Tick(now)
+}
 
-// Tick sends what has become due.
-func (r *Reconciler) Tick(_ time.Time) []Action { return nil }
+// Tick sends what has become due; each target has one open order at a time.
+func (r *Reconciler) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, id := range r.inTurn() {
+		t := r.owned[id]
+		r.expire(t, now)
+		order, due := t.next(r.wanted[id], now)
+		if !due {
+			continue
+		}
+		if order.Kind.UsesWeightStore() {
+			if !r.bucket.Take(0, now) {
+				continue
+			}
+			r.turn = id
+		}
+		actions = append(actions, r.send(id, t, order, now))
+	}
+	return actions
+}
 
 // Missing returns how many wanted orders the owned targets have not confirmed.
-func (r *Reconciler) Missing() int { return 0 }
+func (r *Reconciler) Missing() int {
+	missing := 0
+	for id, t := range r.owned {
+		for _, order := range r.wanted[id] {
+			if !t.confirmed[order] {
+				missing++
+			}
+		}
+	}
+	return missing
+}
+
+// inTurn returns the owned targets by id, beginning after the one that loaded last.
+func (r *Reconciler) inTurn() []namer.Target {
+	ids := slices.Sorted(maps.Keys(r.owned))
+	i, found := slices.BinarySearch(ids, r.turn)
+	if found {
+		i++
+	}
+	return append(ids[i:len(ids):len(ids)], ids[:i]...)
+}
+
+func (r *Reconciler) send(id namer.Target, t *target, order roller.Order, now time.Time) Action {
+	r.number++
+	t.open = &openOrder{
+		number:   r.number,
+		order:    order,
+		deadline: now.Add(r.settings.AnswerTimeout),
+	}
+	return SendOrder{
+		Target: id,
+		Epoch:  t.epoch,
+		Order:  order,
+		Number: r.number,
+	}
+}
+
+func (r *Reconciler) expire(t *target, now time.Time) {
+	if t.open != nil && !now.Before(t.open.deadline) {
+		t.open = nil
+		r.backOff(t, now)
+	}
+}
+
+// maxDoublings keeps the backoff from overflowing.
+const maxDoublings = 16
+
+func (r *Reconciler) backOff(t *target, now time.Time) {
+	wait := min(r.settings.BackoffMax, r.settings.BackoffBase<<min(t.failures, maxDoublings))
+	t.failures++
+	t.retryAt = now.Add(wait)
+}
+
+// next returns the first order that is not confirmed; orders of one target are sent in the order of the bundle.
+func (t *target) next(wanted []roller.Order, now time.Time) (roller.Order, bool) {
+	if t.stale || t.open != nil || now.Before(t.retryAt) {
+		return roller.Order{}, false
+	}
+	for _, order := range wanted {
+		if !t.confirmed[order] {
+			return order, true
+		}
+	}
+	return roller.Order{}, false
+}
+
+// confirm notes an order, unless a later bundle no longer wants it.
+func (t *target) confirm(order roller.Order, wanted []roller.Order) {
+	t.failures = 0
+	t.retryAt = time.Time{}
+	if slices.Contains(wanted, order) {
+		t.confirmed[order] = true
+	}
+}
+
+// forgetUnwanted makes an order count as missing when a later bundle wants it again. An open order stays open, since a
+// later one must not overtake it on its way to the target.
+func (t *target) forgetUnwanted(wanted []roller.Order) {
+	maps.DeleteFunc(t.confirmed, func(o roller.Order, _ bool) bool {
+		return !slices.Contains(wanted, o)
+	})
+}
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -1,6 +1,12 @@
 package recorder
 
 import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -38,7 +44,7 @@
 type WriteBatch struct {
 	Number int64
 	Name   string
-	Value  []byte
+	Value  json.RawMessage
 }
 
 func (WriteBatch) action() {}
@@ -48,54 +54,254 @@
 	Writer      namer.Holder     `json:"writer"`
 	WriteNumber int64            `json:"write_number"`
 	Records     []refuser.Record `json:"records"`
-	Aggregates  []Aggregate      `json:"aggregates,omitempty"`
 }
 
-// Aggregate counts records that were dropped to stay within the memory bound.
-type Aggregate struct {
-	Customer namer.Customer `json:"customer"`
-	Reason   refuser.Reason `json:"reason"`
-	Count    int            `json:"count"`
-	First    time.Time      `json:"first"`
-	Last     time.Time      `json:"last"`
+// storedBatch has the form of Batch with records that are encoded already.
+type storedBatch struct {
+	Writer      namer.Holder      `json:"writer"`
+	WriteNumber int64             `json:"write_number"`
+	Records     []json.RawMessage `json:"records"`
 }
 
+// numberWidth makes the names of one process's batches sort by number.
+const numberWidth = 8
+
+const (
+	// foldedBytes is the size counted for one folded record.
+	foldedBytes = 350
+	// maxFolded keeps a batch with all folded records under the store's limit of 1 MB; further customers share one record.
+	maxFolded = 1500
+)
+
 // Recorder decides when refusal records are written.
 type Recorder struct {
 	settings Settings
+	number   int64
+	open     batch
+	// closed are the batches that are not known to be stored, oldest first.
+	closed  []*batch
+	folded  map[foldKey]*refuser.Record
+	bytes   int
+	retryAt time.Time
+}
+
+type batch struct {
+	number  int64
+	since   time.Time
+	bytes   int
+	records []json.RawMessage
+	keys    []foldKey
+	times   []time.Time
+	writing bool
+	// sent means that the value may be stored already, so that it must not change.
+	sent bool
+}
+
+// foldKey is what folded records have in common.
+type foldKey struct {
+	customer namer.Customer
+	reason   refuser.Reason
+	ran      refuser.Ran
 }
 
 // New returns a recorder without records.
 func New(settings Settings, _ time.Time) *Recorder {
 	return &Recorder{
 		settings: settings,
+		number:   1,
+		open: batch{
+			number: 1,
+		},
+		folded: map[foldKey]*refuser.Record{},
 	}
 }
 
 // Add takes a refusal and returns the id that its caller is told.
-func (r *Recorder) Add(_ refuser.Record, _ time.Time) (string, []Action) { return "", nil }
-
-// Finish takes the outcome of a write.
-func (r *Recorder) Finish(_ int64, _ bool, _ time.Time) []Action { return nil }
+func (r *Recorder) Add(record refuser.Record, now time.Time) (string, []Action) {
+	if record.ID == "" {
+		record.ID = r.name(r.open.number) + "." + strconv.Itoa(len(r.open.records))
+	}
+	encoded, err := json.Marshal(record)
+	if err != nil {
+		// Only figures that are no numbers cannot be encoded; the refusal itself is kept.
+		record.Figures = refuser.Figures{}
+		encoded, _ = json.Marshal(record)
+	}
+	r.open.add(record, encoded, now)
+	r.bytes += len(encoded)
+	var actions []Action
+	if r.open.bytes >= r.settings.FlushBytes {
+		r.close()
+		actions = r.write(now)
+	}
+	r.shrink()
+	return record.ID, actions
+}
 
 // Tick writes what has become due.
-func (r *Recorder) Tick(_ time.Time) []Action { return nil }
+func (r *Recorder) Tick(now time.Time) []Action {
+	if r.openDue(now) {
+		r.close()
+	}
+	return r.write(now)
+}
 
 // Close writes everything at once, for a planned stop; Pending tells when it is done.
-func (r *Recorder) Close(_ time.Time) []Action { return nil }
+func (r *Recorder) Close(now time.Time) []Action {
+	r.close()
+	r.retryAt = time.Time{}
+	return r.write(now)
+}
+
+// Finish takes the outcome of a write; a conflict counts as stored, because no other process uses the name.
+func (r *Recorder) Finish(number int64, stored bool, now time.Time) []Action {
+	i := slices.IndexFunc(r.closed, func(b *batch) bool {
+		return b.number == number
+	})
+	if i < 0 {
+		return nil
+	}
+	if !stored {
+		r.closed[i].writing = false
+		r.retryAt = now.Add(r.settings.RetryInterval)
+		return nil
+	}
+	r.bytes -= r.closed[i].bytes
+	r.closed = slices.Delete(r.closed, i, i+1)
+	r.retryAt = time.Time{}
+	return r.write(now)
+}
 
 // Pending returns the bytes that are not yet known to be stored.
-func (r *Recorder) Pending() int { return 0 }
+func (r *Recorder) Pending() int {
+	return r.bytes + foldedBytes*len(r.folded)
+}
+
+func (r *Recorder) name(number int64) string {
+	return fmt.Sprintf("%s.%s.%0*d", r.settings.Holder.Instance, r.settings.Holder.Incarnation, numberWidth, number)
+}
+
+func (r *Recorder) openDue(now time.Time) bool {
+	if len(r.open.records) == 0 {
+		return len(r.folded) > 0 && len(r.closed) == 0
+	}
+	return now.Sub(r.open.since) >= r.settings.FlushInterval
+}
+
+// close ends the open batch; one without records carries folded records only.
+func (r *Recorder) close() {
+	if len(r.open.records) == 0 && len(r.folded) == 0 {
+		return
+	}
+	closed := r.open
+	r.closed = append(r.closed, &closed)
+	r.number++
+	r.open = batch{
+		number: r.number,
+	}
+}
 
-// Filter selects records; empty fields select all.
-type Filter struct {
-	Customer namer.Customer
-	Since    time.Time
-	Reason   refuser.Reason
+// write starts the oldest batch; one write is open at a time, so that recovery from an outage is paced.
+func (r *Recorder) write(now time.Time) []Action {
+	if len(r.closed) == 0 || r.closed[0].writing || now.Before(r.retryAt) {
+		return nil
+	}
+	b := r.closed[0]
+	b.writing = true
+	r.attachFolded(b)
+	value, err := json.Marshal(storedBatch{
+		Writer:      r.settings.Holder,
+		WriteNumber: b.number,
+		Records:     b.records,
+	})
+	if err != nil {
+		return nil
+	}
+	return []Action{WriteBatch{
+		Number: b.number,
+		Name:   r.name(b.number),
+		Value:  value,
+	}}
 }
 
-// Select returns the records and aggregates of a batch that the filter matches.
-func (f Filter) Select(b Batch) ([]refuser.Record, []Aggregate) { return b.Records, b.Aggregates }
+// attachFolded adds folded records at the first write only, because that write may take effect unnoticed.
+func (r *Recorder) attachFolded(b *batch) {
+	if b.sent {
+		return
+	}
+	b.sent = true
+	for _, key := range slices.SortedFunc(maps.Keys(r.folded), compareKeys) {
+		record := r.folded[key]
+		record.ID = r.name(b.number) + "." + strconv.Itoa(len(b.records))
+		encoded, err := json.Marshal(record)
+		if err != nil {
+			continue
+		}
+		b.records = append(b.records, encoded)
+		b.bytes += len(encoded)
+		r.bytes += len(encoded)
+	}
+	r.folded = map[foldKey]*refuser.Record{}
+}
 
-// BatchName returns the name of the object that holds the record with the id.
-func BatchName(_ string) (string, error) { return "", nil }
+// shrink folds the oldest batches into counts until the memory bound is kept.
+func (r *Recorder) shrink() {
+	for r.Pending() > r.settings.MemoryBytes {
+		i := slices.IndexFunc(r.closed, func(b *batch) bool {
+			return !b.sent
+		})
+		if i < 0 {
+			return
+		}
+		b := r.closed[i]
+		for n, key := range b.keys {
+			r.fold(key, b.times[n])
+		}
+		r.bytes -= b.bytes
+		r.closed = slices.Delete(r.closed, i, i+1)
+	}
+}
+
+func (r *Recorder) fold(key foldKey, at time.Time) {
+	record := r.folded[key]
+	if record == nil && len(r.folded) >= maxFolded {
+		key.customer = ""
+		record = r.folded[key]
+	}
+	if record == nil {
+		record = &refuser.Record{
+			Instance: r.settings.Holder.Instance,
+			Customer: key.customer,
+			Reason:   key.reason,
+			Ran:      key.ran,
+			Message:  "single records were dropped while the store was unavailable",
+		}
+		r.folded[key] = record
+	}
+	record.Folded++
+	if at.After(record.At) {
+		record.At = at
+	}
+}
+
+func (b *batch) add(record refuser.Record, encoded json.RawMessage, now time.Time) {
+	if len(b.records) == 0 {
+		b.since = now
+	}
+	b.records = append(b.records, encoded)
+	b.bytes += len(encoded)
+	b.times = append(b.times, record.At)
+	b.keys = append(b.keys, foldKey{
+		customer: record.Customer,
+		reason:   record.Reason,
+		ran:      record.Ran,
+	})
+}
+
+func compareKeys(a, b foldKey) int {
+	return cmp.Or(
+		cmp.Compare(a.customer, b.customer),
+		cmp.Compare(a.reason, b.reason),
+		cmp.Compare(a.ran, b.ran),
+	)
+}
--- a/pkg/roller/bundle.go
+++ b/pkg/roller/bundle.go
@@ -58,6 +58,11 @@
 	OrderChangeRole  OrderKind = "change_role"
 )
 
+// UsesWeightStore reports whether the order makes the target load from the rate-limited weight store.
+func (k OrderKind) UsesWeightStore() bool {
+	return k != OrderChangeRole
+}
+
 // Order is one wanted state of a target.
 type Order struct {
 	Kind OrderKind `json:"kind" yaml:"kind"`
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -38,13 +39,16 @@
 func DefaultClientSettings(callsPerSecond float64) ClientSettings {
 	return ClientSettings{
 		CallsPerSecond: callsPerSecond,
-		Burst:          2 * callsPerSecond,
+		Burst:          max(2*callsPerSecond, minBurst),
 		ControlReserve: callsPerSecond / 2,
 		BudgetWait:     500 * time.Millisecond,
 		Retry:          DefaultRetryPolicy(),
 	}
 }
 
+// minBurst keeps a token above the reserve also at very low rates.
+const minBurst = 4
+
 // BudgetError means that the call was not made because the instance's call budget is spent.
 type BudgetError struct {
 	Verb string
@@ -128,35 +132,193 @@
 }
 
 // Once returns a view of the client that makes each call a single time, within the budget, with no retry.
-func (c *Client) Once(_ Priority) Store { return c.store }
+func (c *Client) Once(priority Priority) Store {
+	return &once{
+		client:   c,
+		priority: priority,
+	}
+}
 
 // Get reads one object.
-func (c *Client) Get(_ context.Context, _ Priority, _ Kind, _ string) (Object, error) {
-	return Object{}, nil
+func (c *Client) Get(ctx context.Context, priority Priority, kind Kind, name string) (Object, error) {
+	return retryRead(ctx, c, func() (Object, error) {
+		return c.Once(priority).Get(ctx, kind, name)
+	})
 }
 
 // Create writes the value if no object has the name; mine resolves a lost answer.
-func (c *Client) Create(_ context.Context, _ Priority, _ Kind, _ string, _ json.RawMessage, _ IsMine) (int64, error) {
-	return 0, nil
+func (c *Client) Create(ctx context.Context, priority Priority, kind Kind, name string, value json.RawMessage, mine IsMine) (int64, error) {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		send: func() (int64, error) {
+			return store.Create(ctx, kind, name, value)
+		},
+		mine: mine,
+	}
+	return w.run(ctx)
 }
 
 // Update writes the value if the object still has the version; mine resolves a lost answer.
-func (c *Client) Update(_ context.Context, _ Priority, _ Kind, _ string, _ int64, _ json.RawMessage, _ IsMine) (int64, error) {
-	return 0, nil
+func (c *Client) Update(ctx context.Context, priority Priority, kind Kind, name string, version int64, value json.RawMessage, mine IsMine) (int64, error) {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		expect: version,
+		send: func() (int64, error) {
+			return store.Update(ctx, kind, name, version, value)
+		},
+		mine: mine,
+	}
+	return w.run(ctx)
 }
 
-// Delete removes the object if it still has the version.
-func (c *Client) Delete(_ context.Context, _ Priority, _ Kind, _ string, _ int64) error { return nil }
+// Delete removes the object if it still has the version; an object that is absent counts as removed.
+func (c *Client) Delete(ctx context.Context, priority Priority, kind Kind, name string, version int64) error {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		expect: version,
+		remove: true,
+		send: func() (int64, error) {
+			return 0, store.Delete(ctx, kind, name, version)
+		},
+	}
+	_, err := w.run(ctx)
+	return err
+}
+
+// listPage is the number of objects read by one list call.
+const listPage = 500
 
-// ListAll reads all objects of a kind whose names start with prefix, page by page.
-func (c *Client) ListAll(_ context.Context, _ Priority, _ Kind, _ string) (Listing, error) {
-	return Listing{}, nil
+// ListAll reads all objects of a kind whose names start with prefix; its version is that of the first page, so that a
+// watch from there misses no change made while later pages were read.
+func (c *Client) ListAll(ctx context.Context, priority Priority, kind Kind, prefix string) (Listing, error) {
+	var all Listing
+	after := ""
+	for first := true; ; first = false {
+		page, err := retryRead(ctx, c, func() (Listing, error) {
+			return c.Once(priority).List(ctx, kind, prefix, after, listPage)
+		})
+		if err != nil {
+			return Listing{}, err
+		}
+		if first {
+			all.Version = page.Version
+		}
+		all.Items = append(all.Items, page.Items...)
+		if len(page.Items) < listPage {
+			return all, nil
+		}
+		after = page.Items[len(page.Items)-1].Name
+	}
 }
 
 // Watch waits for changes of a kind after a version; it is not repeated, the Watcher does that.
-func (c *Client) Watch(_ context.Context, _ Kind, _ int64, _ time.Duration) (Changes, error) {
-	return Changes{}, nil
+func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+	return c.Once(PriorityControl).Watch(ctx, kind, after, wait)
 }
 
 // Instances reads the platform's lagging list of instances.
-func (c *Client) Instances(_ context.Context) ([]ListedInstance, error) { return nil, nil }
+func (c *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
+	return retryRead(ctx, c, func() ([]ListedInstance, error) {
+		return c.Once(PriorityControl).Instances(ctx)
+	})
+}
+
+func retryRead[V any](ctx context.Context, c *Client, read func() (V, error)) (V, error) {
+	for attempt := 1; ; attempt++ {
+		v, err := read()
+		if err == nil {
+			return v, nil
+		}
+		retry, again := c.settings.Retry.Decide(attempt, false, err, c.roll()).(Retry)
+		if !again || c.sleep(ctx, retry.Delay) != nil {
+			return v, err
+		}
+		c.count(func(n *Counters) { n.Retries++ })
+	}
+}
+
+// acquire takes one call from the budget, waiting for a short time if need be.
+func (c *Client) acquire(ctx context.Context, priority Priority, verb string) error {
+	reserve := c.settings.ControlReserve
+	if priority == PriorityControl {
+		reserve = 0
+	}
+	latest := c.clock.Now().Add(c.settings.BudgetWait)
+	for {
+		wait, taken := c.take(reserve)
+		if taken {
+			return nil
+		}
+		if wait > latest.Sub(c.clock.Now()) {
+			c.count(func(n *Counters) { n.BudgetRefusals++ })
+			return &BudgetError{
+				Verb: verb,
+			}
+		}
+		if err := c.sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) take(reserve float64) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.bucket.Take(reserve, now) {
+		return 0, true
+	}
+	return c.bucket.Wait(reserve, now), false
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.clock.After(d):
+		return nil
+	}
+}
+
+func (c *Client) roll() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+func (c *Client) count(change func(*Counters)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.counters)
+}
+
+// note counts what a call came to; any answer, also a refusal, shows that the store is reachable.
+func (c *Client) note(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var unavailable *UnavailableError
+	var throttled *ThrottledError
+	var conflict *ConflictError
+	switch {
+	case errors.As(err, &unavailable):
+		c.counters.Unavailable++
+		return
+	case errors.As(err, &throttled):
+		c.counters.Throttled++
+	case errors.As(err, &conflict):
+		c.counters.Conflicts++
+	}
+	c.answered = c.clock.Now()
+}
--- a/pkg/tracker/gone.go
+++ b/pkg/tracker/gone.go
@@ -66,10 +66,10 @@
 	present := make(map[namer.Instance]Listed, len(listed))
 	for _, l := range listed {
 		present[l.Instance] = l
-		t.listEntry(l.Instance)
+		t.enlist(l.Instance)
 	}
 	for h := range t.holders {
-		t.listEntry(h.Instance)
+		t.enlist(h.Instance)
 	}
 	for instance, entry := range t.list {
 		l, found := present[instance]
@@ -77,13 +77,10 @@
 	}
 }
 
-func (t *Tracker) listEntry(instance namer.Instance) *listing {
-	entry := t.list[instance]
-	if entry == nil {
-		entry = &listing{}
-		t.list[instance] = entry
+func (t *Tracker) enlist(instance namer.Instance) {
+	if t.list[instance] == nil {
+		t.list[instance] = &listing{}
 	}
-	return entry
 }
 
 func (l *listing) observe(found, leaving bool, now time.Time) {
@@ -132,8 +129,13 @@
 	}
 }
 
-// forgetHolders drops processes that were replaced or left long ago, so that restarts do not fill memory.
-func (t *Tracker) forgetHolders(now time.Time) {
+// forget drops processes that were replaced, left or lost long ago, so that restarts do not fill memory.
+func (t *Tracker) forget(now time.Time) {
+	for instance, p := range t.members {
+		if now.Sub(p.heard) >= t.settings.ForgetAfter {
+			delete(t.members, instance)
+		}
+	}
 	for h, k := range t.holders {
 		p := t.members[h.Instance]
 		current := p != nil && p.holder == h
--- a/pkg/tracker/members.go
+++ b/pkg/tracker/members.go
@@ -43,7 +43,7 @@
 }
 
 func (t *Tracker) takeRecord(version int64, m Member, now time.Time) []Action {
-	p := t.admit(m.Holder)
+	p := t.admit(m.Holder, now)
 	p.version = version
 	p.recordNumber = m.Number
 	p.recordHeard = now
@@ -70,12 +70,12 @@
 
 // ObserveBeat takes a heartbeat, or the answer to one, from a peer.
 func (t *Tracker) ObserveBeat(b Beat, now time.Time) []Action {
-	if b.Sender.Instance == t.settings.Self.Instance || t.replaced(b.Sender) {
+	if b.Sender.Instance == t.settings.Self.Instance || t.replaced(b.Sender, now) {
 		return nil
 	}
 	t.beatHeard = latest(t.beatHeard, now)
 	t.takeReports(b.Heard, now)
-	p := t.admit(b.Sender)
+	p := t.admit(b.Sender, now)
 	p.dataCentre = b.DataCentre
 	p.callerAddress = b.CallerAddress
 	p.departures = max(p.departures, b.DepartureVersion)
@@ -88,7 +88,7 @@
 }
 
 // admit returns the entry of the holder's instance; another incarnation starts with a fresh entry.
-func (t *Tracker) admit(h namer.Holder) *member {
+func (t *Tracker) admit(h namer.Holder, now time.Time) *member {
 	p := t.members[h.Instance]
 	if p != nil && p.holder == h {
 		return p
@@ -102,13 +102,15 @@
 		fresh.peerAddress = p.peerAddress
 	}
 	t.members[h.Instance] = fresh
+	t.know(h, now).replaced = false
 	return fresh
 }
 
-// replaced drops late messages of a process whose successor under the same name is known.
-func (t *Tracker) replaced(h namer.Holder) bool {
+// replaced reports whether another process took the name and is heard, so that a late heartbeat does not undo that.
+func (t *Tracker) replaced(h namer.Holder, now time.Time) bool {
 	k := t.holders[h]
-	return k != nil && k.replaced
+	p := t.members[h.Instance]
+	return k != nil && k.replaced && p != nil && now.Sub(p.heard) < t.settings.SuspectAfter
 }
 
 func (t *Tracker) hear(p *member, number int64, now time.Time) {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -201,7 +201,7 @@
 		actions = append(actions, t.write(now))
 	}
 	actions = append(actions, t.losePeers(now)...)
-	t.forgetHolders(now)
+	t.forget(now)
 	actions = append(actions, t.decideFetch(now)...)
 	return append(actions, t.decideLeaving(now)...)
 }
