--- a/cmd/bergamothollow/main.go
+++ b/cmd/bergamothollow/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	registrar "bergamothollow.example/bergamothollow/internal/cmd"
+	starter "bergamothollow.example/bergamothollow/internal/cmd/serve"
 	"bergamothollow.example/bergamothollow/internal/factory"
 )
 
@@ -20,6 +21,6 @@
 	defer stop()
 	f := factory.New(os.Stdin, os.Stdout, os.Stderr)
 	commands := registrar.Commands(f)
-	// The command serve is registered here: commands = append(commands, server.NewCommand(f)).
+	commands = append(commands, starter.NewCommand(f))
 	return f.Execute(ctx, commands, os.Args[1:])
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/phuslu/log"
@@ -195,11 +196,11 @@
 func (c *Caller) perform(ctx context.Context, action deduplicator.Action, call Call, placement controller.CallPlacement) deduplicator.Event {
 	switch a := action.(type) {
 	case deduplicator.Create:
-		return c.write(ctx, a.Name, 0, a.Record)
+		return writeRecord(ctx, c.options.Store, a.Name, 0, a.Record)
 	case deduplicator.Update:
-		return c.write(ctx, a.Name, a.Version, a.Record)
+		return writeRecord(ctx, c.options.Store, a.Name, a.Version, a.Record)
 	case deduplicator.Read:
-		return c.read(ctx, a.Name)
+		return readRecord(ctx, c.options.Store, a.Name)
 	case deduplicator.Send:
 		return c.sendOnce(ctx, call, placement, a.Before)
 	default:
@@ -207,22 +208,6 @@
 	}
 }
 
-// write makes a single call to the store: the state machine itself resolves a lost answer.
-func (c *Caller) write(ctx context.Context, name string, version int64, record deduplicator.Record) deduplicator.Event {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return deduplicator.WriteRefused{}
-	}
-	store := c.options.Store.Once(storer.PriorityNormal)
-	var written int64
-	if version == 0 {
-		written, err = store.Create(ctx, storer.KindCall, name, value)
-	} else {
-		written, err = store.Update(ctx, storer.KindCall, name, version, value)
-	}
-	return writeEvent(written, err)
-}
-
 func writeEvent(written int64, err error) deduplicator.Event {
 	var conflict *storer.ConflictError
 	var throttled *storer.ThrottledError
@@ -255,8 +240,8 @@
 	return event
 }
 
-func (c *Caller) read(ctx context.Context, name string) deduplicator.Event {
-	object, err := c.options.Store.Once(storer.PriorityNormal).Get(ctx, storer.KindCall, name)
+func readRecord(ctx context.Context, client *storer.Client, name string) deduplicator.Event {
+	object, err := client.Once(storer.PriorityNormal).Get(ctx, storer.KindCall, name)
 	var missing *storer.NotFoundError
 	if errors.As(err, &missing) {
 		return deduplicator.ReadBack{}
@@ -302,9 +287,7 @@
 	req.SetConnectionClose()
 	req.SetBody(call.Body)
 	if err := c.client.DoDeadline(ctx, req, resp, before); err != nil {
-		var operation *net.OpError
-		dialed := !errors.As(err, &operation) || operation.Op != "dial"
-		return deduplicator.Outcome{}, dialed, err
+		return deduplicator.Outcome{}, mayHaveLeft(err), err
 	}
 	return deduplicator.Outcome{
 		Status:      resp.StatusCode(),
@@ -312,3 +295,15 @@
 		Body:        append([]byte(nil), resp.Body()...),
 	}, true, nil
 }
+
+// mayHaveLeft reports whether a byte of the call may have left: not if no connection was opened or none was free.
+func mayHaveLeft(err error) bool {
+	var operation *net.OpError
+	dialFailed := errors.As(err, &operation) && operation.Op == "dial"
+	return !dialFailed && !errors.Is(err, hertzerrors.ErrNoFreeConns)
+}
+
+// Pending returns how many outcomes are not yet known to be stored.
+func (c *Caller) Pending() int {
+	return c.settler.pending()
+}
--- a/internal/cmd/refusals/lister.go
+++ b/internal/cmd/refusals/lister.go
@@ -64,8 +64,7 @@
 
 // result is what --json prints.
 type result struct {
-	Records    []refuser.Record     `json:"records"`
-	Aggregates []recorder.Aggregate `json:"aggregates"`
+	Records []refuser.Record `json:"records"`
 }
 
 func run(ctx context.Context, o Options) error {
@@ -82,13 +81,10 @@
 		return err
 	}
 	found := result{
-		Records:    []refuser.Record{},
-		Aggregates: []recorder.Aggregate{},
+		Records: []refuser.Record{},
 	}
 	for _, batch := range batches {
-		records, aggregates := filter.Select(batch.Value)
-		found.Records = append(found.Records, records...)
-		found.Aggregates = append(found.Aggregates, aggregates...)
+		found.Records = append(found.Records, filter.Select(batch.Value)...)
 	}
 	slices.SortStableFunc(found.Records, func(a, b refuser.Record) int {
 		return a.At.Compare(b.At)
@@ -144,9 +140,11 @@
 	if err := f.Table(rows); err != nil {
 		return err
 	}
-	for _, a := range r.Aggregates {
-		f.Printf("%d more of customer %s with reason %s from %s to %s\n", a.Count, a.Customer, a.Reason,
-			a.First.UTC().Format(time.RFC3339), a.Last.UTC().Format(time.RFC3339))
+	for _, record := range r.Records {
+		if record.Folded > 0 {
+			f.Printf("%s stands for %d refusals of %s with reason %s that were counted and not kept one by one\n",
+				record.ID, record.Folded, record.Customer, record.Reason)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/cmd/serve/doc.go
@@ -0,0 +1,2 @@
+// Package starter is the command serve, which runs an instance.
+package starter
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -174,3 +174,9 @@
 func (c *Controller) Leave() {
 	c.post(c.ctx, leaveWanted{})
 }
+
+// StoreHeard reports whether the store answered lately.
+func (c *Controller) StoreHeard() bool {
+	age := c.storeAge(c.options.Clock.Now())
+	return age >= 0 && age < c.options.Settings.Times.Isolation
+}
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -35,7 +35,7 @@
 type sink interface {
 	token(token streamer.Token) error
 	finish() error
-	fail(body errorBody, refusal *refuser.Refusal)
+	fail(detail errorDetail, refusal *refuser.Refusal)
 }
 
 func (s *Server) completions(ctx context.Context, c *app.RequestContext) {
@@ -108,9 +108,11 @@
 	return errors.Join(s.writer.WriteEvent("", "", []byte("[DONE]")), s.writer.Close())
 }
 
-func (s *streamSink) fail(body errorBody, _ *refuser.Refusal) {
+func (s *streamSink) fail(detail errorDetail, _ *refuser.Refusal) {
 	// The caller may be gone; there is nobody else to tell.
-	_ = s.send(body)
+	_ = s.send(errorBody{
+		Error: detail,
+	})
 	_ = s.writer.Close()
 }
 
@@ -154,9 +156,6 @@
 	return nil
 }
 
-func (w *wholeSink) fail(body errorBody, refusal *refuser.Refusal) {
-	if refusal.RetryAfter > 0 {
-		w.context.Header("Retry-After", retryAfterSeconds(refusal.RetryAfter))
-	}
-	w.context.JSON(refusal.Status(), body)
+func (w *wholeSink) fail(detail errorDetail, refusal *refuser.Refusal) {
+	w.server.answerRefusal(w.context, refusal, detail)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -120,37 +120,33 @@
 // refuse records the refusal and answers the caller with it.
 func (s *Server) refuse(c *app.RequestContext, request *controller.Request, err error) {
 	refusal := asRefusal(err)
-	body := s.record(request, refusal)
+	s.answerRefusal(c, refusal, s.record(request, refusal))
+}
+
+func (s *Server) answerRefusal(c *app.RequestContext, refusal *refuser.Refusal, detail errorDetail) {
 	if refusal.RetryAfter > 0 || refusal.Reason == refuser.Leaving {
 		c.Header("Retry-After", retryAfterSeconds(refusal.RetryAfter))
 	}
 	if leavesBodyUnread(refusal.Reason) {
 		c.SetConnectionClose()
 	}
-	c.JSON(refusal.Status(), body)
+	c.JSON(refusal.Status(), errorBody{
+		Error: detail,
+	})
 }
 
 // record counts and stores the refusal and returns what the caller is told.
-func (s *Server) record(request *controller.Request, refusal *refuser.Refusal) errorBody {
+func (s *Server) record(request *controller.Request, refusal *refuser.Refusal) errorDetail {
 	s.options.Metrics.Refusals.WithLabelValues(string(refusal.Reason)).Inc()
 	s.options.Metrics.Requests.WithLabelValues("refused").Inc()
-	id := s.options.Control.Refused(request, refusal)
-	detail := errorDetail{
+	return errorDetail{
 		Type:         refusal.Reason,
 		Message:      refusal.Message,
 		Ran:          refusal.Ran,
-		RefusalID:    id,
+		RefusalID:    s.options.Control.Refused(request, refusal),
 		RequestID:    request.ID,
 		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
-	}
-	if refusal.Reason == refuser.Leaving || refusal.Reason == refuser.Isolated || refusal.Reason == refuser.NotReady {
-		// Without an address the caller falls back on the others it knows.
-		if answer, err := s.options.Control.Addresses(); err == nil {
-			detail.Addresses = answer.Addresses
-		}
-	}
-	return errorBody{
-		Error: detail,
+		Addresses:    s.elsewhere(refusal.Reason),
 	}
 }
 
