--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -12,7 +12,6 @@
 	"bergamothollow.example/bergamothollow/pkg/elector"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/reserver"
-	"bergamothollow.example/bergamothollow/pkg/tracker"
 )
 
 const (
@@ -495,14 +494,3 @@
 		return nil
 	})
 }
-
-// engineTargets returns the engines of a model that are in service.
-func (c *Controller) engineTargets(model namer.Model) []tracker.Target {
-	var found []tracker.Target
-	for _, t := range c.tracker.Targets() {
-		if t.Kind == tracker.TargetEngine && t.Model == model && !c.tracker.TargetOut(t.ID) {
-			found = append(found, t)
-		}
-	}
-	return found
-}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -312,9 +312,8 @@
 
 func (c *Controller) recorderActions(actions []recorder.Action) {
 	for _, a := range actions {
-		switch a := a.(type) {
-		case recorder.WriteBatch:
-			c.writeBatch(a)
+		if batch, ok := a.(recorder.WriteBatch); ok {
+			c.writeBatch(batch)
 		}
 	}
 }
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -287,12 +287,12 @@
 		r.Deadline = r.Received.Add(patience(r.Patience, bundle.Rules))
 	}
 	if m.failure != nil {
-		return t.checkRetry(m, now)
+		return t.checkRetry(now)
 	}
 	return nil
 }
 
-func (t *traffic) checkRetry(m *admit, now time.Time) error {
+func (t *traffic) checkRetry(now time.Time) error {
 	if !t.budget.Spend(now) {
 		return &refuser.Refusal{
 			Reason:     refuser.RetryBudgetSpent,
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -331,9 +329,3 @@
 func retryAfterSeconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
-
-// isTimeout reports whether a write to the caller ran out of time.
-func isTimeout(err error) bool {
-	var network net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) && network.Timeout()
-}
