--- /dev/null
+++ b/internal/emulator/service/doc.go
@@ -0,0 +1,2 @@
+// Package service emulates a plain service and counts how often each call ran.
+package service
