Keep the HTTP client from repeating writes to the platform

The client repeated a PUT or DELETE on its own when a reused connection closed before the response. A create whose answer was lost then came back as a conflict with the caller's own write instead of as an unknown outcome.

--- a/internal/emulator/platform/platform_test.go
+++ b/internal/emulator/platform/platform_test.go
@@ -86,6 +86,8 @@
 	// Guards against a lost answer whose write did not take effect, or took effect twice.
 	t.Run("lost answer", func(t *testing.T) {
 		p, client := start(t, o)
+		// An earlier write offers a connection for reuse: clients may repeat a write on a reused connection.
+		_, _ = client.Create(ctx, storer.KindCell, "earlier", value)
 		p.SetFaults(Faults{
 			LoseAnswers: 1,
 		})
@@ -94,9 +96,9 @@
 			t.Fatal("a lost answer is reported as not sent")
 		}
 		object, err := client.Get(ctx, storer.KindCell, "c")
-		assertVersion(t, object.Version, err, 1)
-		if puts := p.Counts()["put"]; puts != 1 {
-			t.Fatalf("got %d puts, want 1", puts)
+		assertVersion(t, object.Version, err, 2)
+		if puts := p.Counts()["put"]; puts != 2 {
+			t.Fatalf("got %d puts, want 2", puts)
 		}
 	})
 
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -25,25 +25,38 @@
 type HTTP struct {
 	base    string
 	timeout time.Duration
-	client  *client.Client
+	reader  *client.Client
+	// writer opens a connection for each write: the HTTP client silently repeats a PUT or DELETE whose reused
+	// connection closes before the response, although the write may have taken effect.
+	writer *client.Client
 }
 
 // NewHTTP returns a client of the object API at address (host:port); each call but a watch ends within timeout.
 func NewHTTP(address string, timeout time.Duration) (*HTTP, error) {
-	c, err := client.NewClient(
-		client.WithDialTimeout(dialTimeout),
-		client.WithMaxConnsPerHost(64),
-	)
+	reader, err := newClient(true)
+	if err != nil {
+		return nil, err
+	}
+	writer, err := newClient(false)
 	if err != nil {
 		return nil, err
 	}
 	return &HTTP{
 		base:    "http://" + address,
 		timeout: timeout,
-		client:  c,
+		reader:  reader,
+		writer:  writer,
 	}, nil
 }
 
+func newClient(keepAlive bool) (*client.Client, error) {
+	return client.NewClient(
+		client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(64),
+		client.WithKeepAlive(keepAlive),
+	)
+}
+
 // Get reads one object.
 func (h *HTTP) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	var object Object
@@ -171,7 +184,11 @@
 	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
 		deadline = earlier
 	}
-	if err := h.client.DoDeadline(ctx, req, resp, deadline); err != nil {
+	sender := h.reader
+	if c.method != http.MethodGet {
+		sender = h.writer
+	}
+	if err := sender.DoDeadline(ctx, req, resp, deadline); err != nil {
 		return &UnavailableError{
 			Sent:  !isDialError(err),
 			Cause: err,
