--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -791,17 +791,12 @@
 			Boot:   boot,
 		})
 	}
-	if n.w.off.reconciliation {
-		return
-	}
 	requested := sent
 	if n.w.off.freshList {
 		requested = n.local()
 	}
 	for _, p := range n.w.instances {
-		if p.holder.Instance != n.holder.Instance && p.started > 0 {
-			n.dropOlder(i, p.holder, list)
-		}
+		n.dropOlder(i, p.holder, list)
 	}
 	n.allocate(i, allocator.Listed{
 		Boot:      boot,
@@ -846,7 +841,9 @@
 	for _, a := range actions {
 		switch v := a.(type) {
 		case allocator.CancelRequest:
-			delete(n.w.engines[i].running, v.Request)
+			if !n.w.off.reconciliation {
+				delete(n.w.engines[i].running, v.Request)
+			}
 		case allocator.ConfirmRequests:
 			n.confirm(i, v)
 		case allocator.GrantReservation:
--- a/pkg/elector/property_test.go
+++ b/pkg/elector/property_test.go
@@ -3,6 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,8 +17,10 @@
 )
 
 const (
-	coldLimit  = modelCapacity * 15 / 100
-	settleTime = 60 * time.Second
+	coldLimit       = modelCapacity * 15 / 100
+	fixedSchedules  = 200
+	searchSchedules = 2000
+	settleTime      = 60 * time.Second
 )
 
 // usable is the part of an engine's memory that may be allocated.
@@ -24,6 +31,13 @@
 	return modelCapacity * 96 / 100
 }
 
+// The properties, as named in errors.
+const (
+	exceeded = "capacity exceeded"
+	cold     = "cold engine overloaded"
+	leaked   = "memory leaked"
+)
+
 type share struct {
 	holder namer.Holder
 	owner  namer.Holder
@@ -109,13 +123,13 @@
 	w.prune()
 	for _, e := range w.engines {
 		if may := w.mayHold(e); may > e.usable() {
-			return fmt.Errorf("%v: %s: %d of %d tokens may be held", w.now, e.id, may, e.usable())
+			return fmt.Errorf("%v: %s: "+exceeded+": %d of %d tokens may be held", w.now, e.id, may, e.usable())
 		}
 		if held := e.held(); held > e.usable() {
-			return fmt.Errorf("%v: %s: %d of %d tokens are held", w.now, e.id, held, e.usable())
+			return fmt.Errorf("%v: %s: "+exceeded+": %d of %d tokens are held", w.now, e.id, held, e.usable())
 		}
 		if held := e.held(); w.now < e.coldUntil && held > coldLimit {
-			return fmt.Errorf("%v: %s: %d tokens are held by a cold engine", w.now, e.id, held)
+			return fmt.Errorf("%v: %s: "+cold+": %d tokens are held", w.now, e.id, held)
 		}
 	}
 	return nil
@@ -143,7 +157,7 @@
 func (w *world) leftovers() error {
 	for _, e := range w.engines {
 		if len(e.running) > 0 {
-			return fmt.Errorf("%s: %d requests are left at the engine: %v", e.id, len(e.running), e.list())
+			return fmt.Errorf("%s: "+leaked+": %d requests are left at the engine: %v", e.id, len(e.running), e.list())
 		}
 		owners := 0
 		for _, n := range w.instances {
@@ -203,3 +217,84 @@
 		})
 	}
 }
+
+// schedule draws faults from a plain seed, for searches that rapid's bookkeeping would slow down.
+func schedule(seed uint64, kinds []faultKind) []fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	faults := make([]fault, random.IntN(7))
+	for i := range faults {
+		faults[i] = fault{
+			Kind:   kinds[random.IntN(len(kinds))],
+			At:     time.Duration(random.IntN(200)) * modelStep,
+			Length: time.Duration(1+random.IntN(120)) * modelStep,
+			Who:    random.IntN(12),
+		}
+	}
+	return faults
+}
+
+// TestPropertiesNeedEachMechanism shows for each mechanism a failure that only it prevents: the properties
+// fail under some schedule once the model leaves it out.
+func TestPropertiesNeedEachMechanism(t *testing.T) {
+	tests := []struct {
+		name string
+		off  without
+		// wantErr is the property that fails.
+		wantErr string
+	}{
+		{name: "a successor waits until promises and quotas have expired", off: without{takeoverWait: true}, wantErr: exceeded},
+		{name: "a paused instance loses its authority", off: without{pauseDetection: true}, wantErr: exceeded},
+		{name: "an isolated instance loses its authority", off: without{isolation: true}, wantErr: exceeded},
+		{name: "a successor that acted withholds its echo", off: without{withheldEcho: true}, wantErr: exceeded},
+		{name: "an echo from a newer table is no promise", off: without{echoVersion: true}, wantErr: exceeded},
+		{name: "an engine rejects old epochs", off: without{engineFencing: true}, wantErr: exceeded},
+		{name: "a quota expires counted from the sending of the request", off: without{sentTimeExpiry: true}, wantErr: exceeded},
+		{name: "a request starts only under the boot id of its quota", off: without{bootCheck: true}, wantErr: cold},
+		{name: "only a list asked for after an expiry frees what expired", off: without{freshList: true}, wantErr: exceeded},
+		{name: "the owner reconciles with the engine's list", off: without{reconciliation: true}, wantErr: leaked},
+		{name: "a long isolated instance regains authority by a write only", off: without{requalification: true}, wantErr: exceeded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(searchSchedules) {
+				w := newWorld(seed, schedule(seed, allFaults()), tt.off, 2+int(seed%3))
+				if err := w.run(); err != nil && strings.Contains(err.Error(), tt.wantErr) {
+					t.Logf("fails as expected: schedule %d: %v", seed, err)
+					return
+				}
+			}
+			t.Errorf("no schedule of %d fails", searchSchedules)
+		})
+	}
+}
+
+// TestFixedSchedules guards the same properties as TestCapacityIsNeverExceeded, under many schedules by seed.
+func TestFixedSchedules(t *testing.T) {
+	var first uint64
+	if text := os.Getenv("SCHEDULE"); text != "" {
+		first, _ = strconv.ParseUint(text, 10, 64)
+	}
+	count := uint64(fixedSchedules)
+	if text := os.Getenv("SCHEDULES"); text != "" {
+		count, _ = strconv.ParseUint(text, 10, 64)
+	}
+	var started, writes atomic.Int64
+	begin := time.Now()
+	for worker := range uint64(8) {
+		t.Run(fmt.Sprint(worker), func(t *testing.T) {
+			t.Parallel()
+			for seed := first + worker; seed < first+count; seed += 8 {
+				w := newWorld(seed, schedule(seed, allFaults()), without{}, 2+int(seed%3))
+				if err := w.run(); err != nil {
+					t.Fatalf("SCHEDULE=%d: %v", seed, err)
+				}
+				started.Add(int64(w.started))
+				writes.Add(int64(w.takeovers))
+			}
+		})
+	}
+	t.Cleanup(func() {
+		t.Logf("%d schedules, %d requests started, %d table writes, %v", count, started.Load(), writes.Load(), time.Since(begin))
+	})
+}
