--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -201,11 +201,13 @@
 }
 
 // predict returns the wait until a request of a class can be placed behind those queued.
-func (a *Admitter) predict(now time.Time, r Request, class placer.Class, room placer.NoRoom) time.Duration {
+func (a *Admitter) predict(now time.Time, r Request, class placer.Class, oneRun time.Duration,
+	room placer.NoRoom,
+) time.Duration {
 	queues := a.model(r.Model)
 	queue := &queues.classes[class]
 	needed := r.Tokens() + queue.tokens - room.FreeTokens
-	memory := queues.releaseAfter(now, needed, a.settings.RetryAfterMaximum)
+	memory := queues.releaseAfter(now, needed, oneRun, a.settings.RetryAfterMaximum)
 	head := time.Duration(float64(queue.length) * queue.headTime * float64(time.Second))
 	return min(max(memory, head), a.settings.RetryAfterMaximum)
 }
@@ -214,7 +216,7 @@
 	room placer.NoRoom,
 ) Action {
 	queues := a.model(r.Model)
-	wait := a.predict(now, r, class, room)
+	wait := a.predict(now, r, class, e.Total, room)
 	if refused := a.unreachable(now, r, wait, e, room); refused != nil {
 		return refused
 	}
@@ -341,7 +343,7 @@
 func (a *Admitter) expire(now time.Time, queues *model, head *item) Action {
 	queues.remove(head)
 	a.leave(head.request.Customer)
-	wait := a.predict(now, head.request, head.class, placer.NoRoom{})
+	wait := a.predict(now, head.request, head.class, head.request.Deadline.Sub(head.latestStart), placer.NoRoom{})
 	return a.refuse(head.request, refuser.DeadlineUnreachable, wait,
 		"no target had room in time: allow more time or try again later", refuser.Figures{
 			PredictedWait: wait,
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -185,8 +185,9 @@
 	m.released /= 1 + past.Seconds()/releaseWindow.Seconds()
 }
 
-// releaseAfter predicts the time until running requests have released a number of tokens.
-func (m *model) releaseAfter(now time.Time, needed int, limit time.Duration) time.Duration {
+// releaseAfter predicts the time until running requests have released a number of tokens. While
+// nothing is known of releases, one run of a request is the best guess.
+func (m *model) releaseAfter(now time.Time, needed int, oneRun, limit time.Duration) time.Duration {
 	last := time.Duration(0)
 	for _, one := range m.runs {
 		if needed <= 0 {
@@ -204,7 +205,7 @@
 	m.decay(now)
 	rate := m.released / releaseWindow.Seconds()
 	if rate <= 0 {
-		return limit
+		return min(last+oneRun, limit)
 	}
 	return min(last+time.Duration(float64(needed)/rate*float64(time.Second)), limit)
 }
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -157,7 +157,12 @@
 		perToken := o.Prefill.Seconds() / float64(o.PrefillTokens)
 		known.rates.prefill.add(perToken, e.settings.Weight)
 		if !e.slow(known) {
-			// A cold target says nothing about the model's other targets.
+			// A cold target says nothing about the model's other targets. Its first observations,
+			// before it is known to be cold, count no more than the slowest warm ones.
+			normal := e.pick(average{}, known.model.prefill, recordPrefill(known.record))
+			if normal > 0 {
+				perToken = min(perToken, normal/e.settings.ColdShare)
+			}
 			known.model.prefill.add(perToken, e.settings.Weight)
 		}
 	}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -286,7 +286,7 @@
 	return len(p.running)
 }
 
-// Stored takes a hint that a target holds a prefix.
+// Stored takes a hint that a target holds a prefix; engines report each block of a prefix.
 func (p *Placer) Stored(now time.Time, target namer.Target, prefix uint64) {
 	p.hints.store(now, target, prefix)
 }
