--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -26,7 +26,7 @@
 	return Settings{
 		Weight:           0.05,
 		MinSamples:       5,
-		MinPrefillTokens: 1_000,
+		MinPrefillTokens: 4_000,
 		MaxColdFactor:    10,
 		ColdShare:        1.0 / 3,
 	}
@@ -62,6 +62,8 @@
 	Prefill time.Duration
 	Decode  time.Duration
 	Total   time.Duration
+	// QueueTokens is the work that Wait was predicted from.
+	QueueTokens int
 	// Tokens is the memory held at the peak.
 	Tokens int
 }
@@ -76,6 +78,7 @@
 	Target namer.Target
 	// PrefillTokens are the uncached tokens processed during Prefill, with those queued in front.
 	PrefillTokens int
+	// Prefill is the time from sending the request to its first token.
 	Prefill       time.Duration
 	TokenInterval time.Duration
 }
@@ -154,7 +157,9 @@
 		return
 	}
 	if o.Prefill > 0 && o.PrefillTokens >= e.settings.MinPrefillTokens {
-		perToken := o.Prefill.Seconds() / float64(o.PrefillTokens)
+		interval := e.pick(known.rates.interval, known.model.interval, known.record.TokenInterval.Seconds())
+		spent := max(o.Prefill.Seconds()-interval, o.Prefill.Seconds()/2)
+		perToken := spent / float64(o.PrefillTokens)
 		known.rates.prefill.add(perToken, e.settings.Weight)
 		if !e.slow(known) {
 			// A cold target says nothing about the model's other targets. Its first observations,
@@ -217,7 +222,8 @@
 // Estimate predicts the cost of a request on a target under a load.
 func (e *Estimator) Estimate(r Request, id namer.Target, load Load) Estimate {
 	estimate := Estimate{
-		Tokens: r.PromptTokens + r.OutputTokens,
+		QueueTokens: load.QueueTokens,
+		Tokens:      r.PromptTokens + r.OutputTokens,
 	}
 	known := e.targets[id]
 	if known == nil {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -52,8 +52,10 @@
 
 // pool is the targets in service of one model.
 type pool struct {
-	targets     []*state
+	targets []*state
+	// queueTokens is the sum of the queues of the counted targets, those without a long prefill.
 	queueTokens int
+	counted     int
 	long        int
 	// largest is the memory of the largest target, and of the largest that takes group members.
 	largest int
@@ -138,12 +140,21 @@
 		one.pool = members
 		one.long = false
 		members.targets = append(members.targets, one)
-		members.queueTokens += one.summary.QueueTokens
+		one.countQueue(1)
 		members.largest = max(members.largest, one.target.CapacityTokens)
 		one.countLong()
 	}
 }
 
+// countQueue adds the reported queue to the pool's, or takes it out.
+func (s *state) countQueue(sign int) {
+	if s.pool == nil || s.summary.LongPrefills > 0 {
+		return
+	}
+	s.pool.queueTokens += sign * s.summary.QueueTokens
+	s.pool.counted += sign
+}
+
 // countLong keeps the pool's number of targets with a long prefill.
 func (s *state) countLong() {
 	long := s.longPending > 0 || s.summary.LongPrefills > s.longProcessed
@@ -163,10 +174,9 @@
 	if known == nil || summary.At.Before(known.summary.At) {
 		return
 	}
-	if known.pool != nil {
-		known.pool.queueTokens += summary.QueueTokens - known.summary.QueueTokens
-	}
+	known.countQueue(-1)
 	known.summary = summary
+	known.countQueue(1)
 	known.pending, known.processed, known.reserved, known.longProcessed = 0, 0, 0, 0
 	for _, running := range p.running {
 		for _, one := range running.parts {
@@ -482,7 +492,7 @@
 // queueTokens predicts the work in front of a request. What a summary says fades into the mean of
 // the model with age; own placements since are known exactly.
 func (p *Placer) queueTokens(now time.Time, target *state, class Class) int {
-	mean := float64(target.pool.queueTokens) / float64(len(target.pool.targets))
+	mean := float64(target.pool.queueTokens) / float64(max(target.pool.counted, 1))
 	reported := float64(max(target.summary.QueueTokens-target.processed, 0))
 	age := min(float64(now.Sub(target.summary.At))/float64(p.settings.LoadLife), 1)
 	if target.long && class == Short {
