Keep the HTTP library from repeating conditional writes, and test the commands over HTTP

The library repeated a PUT whose connection closed without an answer. The repeated write conflicted with the first, and a command whose change had taken effect reported that somebody else was faster.

--- /dev/null
+++ b/internal/cmd/platform_test.go
@@ -0,0 +1,63 @@
+package registrar
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"bergamothollow.example/bergamothollow/internal/emulator/platform"
+	"bergamothollow.example/bergamothollow/internal/emulator/runner"
+	"bergamothollow.example/bergamothollow/internal/factory"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// startPlatform serves the emulator of the platform and points the operator's settings at it.
+func startPlatform(t *testing.T, b *bench) *platform.Platform {
+	t.Helper()
+	server, err := runner.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := platform.New(platform.Options{
+		WritesPerSecond: 300,
+		ReadsPerSecond:  2000,
+		Clock:           timer.System{},
+	})
+	p.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, t.Output()) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	b.write(t, "ana.yaml", "operator: ana\nplatform:\n  address: "+server.Address()+"\n")
+	return p
+}
+
+// Guards against commands that only work with the store in memory, not over the platform's HTTP API.
+func TestOverHTTP(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  platform.Faults
+		code    int
+		wantErr string
+	}{
+		{"platform up", platform.Faults{}, int(factory.ExitDone), "target engine-1 out: done"},
+		{"answer lost", platform.Faults{LoseAnswers: 1}, int(factory.ExitDone), "target engine-1 out: done"},
+		{"platform down", platform.Faults{Down: true}, int(factory.ExitUnavailable), "the failed call changed nothing"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			b := newBench(t)
+			p := startPlatform(t, b)
+			shouldExit(b.runHTTP("ana", "target add --file "+examples+"targets.yaml"), 0, "written")
+			p.SetFaults(test.faults)
+			shouldExit(b.runHTTP("ana", "target out engine-1"), test.code, test.wantErr)
+			p.SetFaults(platform.Faults{})
+			shouldExit(b.runHTTP("ana", "target out engine-1"), 0, "target engine-1 out")
+			shouldExit(b.runHTTP("ana", "status"), 0, "targets [engine-1]")
+		})
+	}
+}
--- a/internal/cmd/refusals/lister.go
+++ b/internal/cmd/refusals/lister.go
@@ -16,11 +16,12 @@
 	"bergamothollow.example/bergamothollow/pkg/storer"
 )
 
-const help = `bergamothollow refusals [--customer C] [--since T] [--reason R] [--json]
+const help = `bergamothollow refusals [--id ID] [--customer C] [--since T] [--reason R] [--json]
 
 List refusal records, oldest first. Records reach the store up to 2 seconds after the refusal.
---since takes a duration before now (30m) or a time (2026-01-31T15:00:00Z). Counts of records
-that were dropped during a long outage of the platform are listed at the end.
+--since takes a duration before now (30m) or a time (2026-01-31T15:00:00Z). A record with a
+count above 1 stands for several refusals, whose records were folded during a long outage of the
+platform. --id reads one batch only; the other flags read all batches and filter them.
 
 Example:
   bergamothollow refusals --customer crew-shares --since 1h --reason queue_full
@@ -29,6 +30,7 @@
 // Options are the arguments and flags of the command.
 type Options struct {
 	Factory  *factory.Factory
+	ID       string
 	Customer string
 	Since    string
 	Reason   string
@@ -56,18 +58,13 @@
 }
 
 func (o *Options) setFlags(flags *flag.FlagSet) {
+	flags.StringVar(&o.ID, "id", "", "only the record with this `id`, the refusal_id of an answer")
 	flags.StringVar(&o.Customer, "customer", "", "only refusals of this `customer`")
 	flags.StringVar(&o.Since, "since", "", "only refusals after this `time` or within this duration")
 	flags.StringVar(&o.Reason, "reason", "", "only refusals with this `reason` (see docs/operating.md)")
 	flags.BoolVar(&o.JSON, "json", false, "print records as JSON")
 }
 
-// result is what --json prints.
-type result struct {
-	Records    []refuser.Record     `json:"records"`
-	Aggregates []recorder.Aggregate `json:"aggregates"`
-}
-
 func run(ctx context.Context, o Options) error {
 	filter, err := o.filter()
 	if err != nil {
@@ -77,26 +74,53 @@
 	if err != nil {
 		return err
 	}
-	batches, err := factory.List[recorder.Batch](ctx, store, storer.KindRefusal)
+	batches, err := o.batches(ctx, store)
 	if err != nil {
 		return err
 	}
-	found := result{
-		Records:    []refuser.Record{},
-		Aggregates: []recorder.Aggregate{},
-	}
+	records := []refuser.Record{}
 	for _, batch := range batches {
-		records, aggregates := filter.Select(batch.Value)
-		found.Records = append(found.Records, records...)
-		found.Aggregates = append(found.Aggregates, aggregates...)
+		records = append(records, filter.Select(batch.Value)...)
 	}
-	slices.SortStableFunc(found.Records, func(a, b refuser.Record) int {
+	if o.ID != "" {
+		records = slices.DeleteFunc(records, func(r refuser.Record) bool { return r.ID != o.ID })
+	}
+	slices.SortStableFunc(records, func(a, b refuser.Record) int {
 		return a.At.Compare(b.At)
 	})
 	if o.JSON {
-		return o.Factory.JSON(found)
+		return o.Factory.JSON(records)
+	}
+	return printRecords(o.Factory, records)
+}
+
+// batches reads all batches, or only the one that holds the record of an id.
+func (o Options) batches(ctx context.Context, store storer.Store) ([]factory.Entry[recorder.Batch], error) {
+	if o.ID == "" {
+		return factory.List[recorder.Batch](ctx, store, storer.KindRefusal)
+	}
+	name, err := recorder.BatchName(o.ID)
+	if err != nil {
+		return nil, err
 	}
-	return found.print(o.Factory)
+	batch, err := factory.Read[recorder.Batch](ctx, store, storer.KindRefusal, name)
+	if err == nil && batch.Version == 0 {
+		err = &MissingError{
+			ID: o.ID,
+		}
+	}
+	return []factory.Entry[recorder.Batch]{batch}, err
+}
+
+// MissingError means that no stored batch has the record.
+type MissingError struct {
+	ID string
+}
+
+// Error says why the record may be missing.
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("the store has no record %q: it is written up to 2 seconds after the refusal, "+
+		"after an outage of the platform, or lost with a killed process; the caller's answer carries the same facts", e.ID)
 }
 
 func (o Options) filter() (recorder.Filter, error) {
@@ -133,20 +157,13 @@
 	return at, nil
 }
 
-func (r result) print(f *factory.Factory) error {
-	rows := [][]any{{"TIME", "ID", "INSTANCE", "CUSTOMER", "SUBJECT", "REASON", "RAN", "RETRY AFTER", "MESSAGE"}}
-	for _, record := range r.Records {
+func printRecords(f *factory.Factory, records []refuser.Record) error {
+	rows := [][]any{{"TIME", "ID", "INSTANCE", "CUSTOMER", "SUBJECT", "REASON", "RAN", "RETRY AFTER", "COUNT", "MESSAGE"}}
+	for _, record := range records {
 		rows = append(rows, []any{
-			record.At.UTC().Format(time.RFC3339), record.ID, record.Instance, record.Customer,
-			record.Subject, record.Reason, record.Ran, record.RetryAfter, record.Message,
+			record.At.UTC().Format(time.RFC3339), record.ID, record.Instance, record.Customer, record.Subject,
+			record.Reason, record.Ran, record.RetryAfter, max(record.Folded, 1), record.Message,
 		})
 	}
-	if err := f.Table(rows); err != nil {
-		return err
-	}
-	for _, a := range r.Aggregates {
-		f.Printf("%d more of customer %s with reason %s from %s to %s\n", a.Count, a.Customer, a.Reason,
-			a.First.UTC().Format(time.RFC3339), a.Last.UTC().Format(time.RFC3339))
-	}
-	return nil
+	return f.Table(rows)
 }
--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -19,6 +19,7 @@
 	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/internal/keyfile"
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/recorder"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/roller"
 	"bergamothollow.example/bergamothollow/pkg/storer"
@@ -82,15 +83,26 @@
 	}
 }
 
-// run executes a command line as an operator; words ending in @ name files of the bench.
+// run executes a command line as an operator on the store in memory; words ending in @ name files of the bench.
 func (b *bench) run(operator, line string) outcome {
+	return b.execute(operator, line, func(f *factory.Factory) {
+		f.Clock = &eager{
+			now: time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC),
+		}
+		f.OpenStore = func(configurer.Settings) (storer.Store, error) { return b.store, nil }
+	})
+}
+
+// runHTTP is run over the platform's HTTP API with the system's clock.
+func (b *bench) runHTTP(operator, line string) outcome {
+	return b.execute(operator, line, func(*factory.Factory) {})
+}
+
+func (b *bench) execute(operator, line string, replace func(*factory.Factory)) outcome {
 	var out, errs bytes.Buffer
 	f := factory.New(strings.NewReader(""), &out, &errs)
 	f.SettingsFile = b.path(operator + ".yaml")
-	f.Clock = &eager{
-		now: time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC),
-	}
-	f.OpenStore = func(configurer.Settings) (storer.Store, error) { return b.store, nil }
+	replace(f)
 	words := strings.Fields(line)
 	for i, word := range words {
 		if name, ok := strings.CutSuffix(word, "@"); ok {
@@ -181,6 +193,16 @@
 	})
 }
 
+func (b *bench) member(instance namer.Instance, state tracker.State, sequence int64) {
+	b.store.Put(storer.KindMember, string(instance), tracker.Member{
+		Holder: namer.Holder{
+			Instance: instance,
+		},
+		State:          state,
+		BundleSequence: sequence,
+	})
+}
+
 // signed creates and approves a bundle of an author with a note.
 func (b *bench) signed(t *testing.T, author, approver, note string) string {
 	t.Helper()
@@ -241,6 +263,33 @@
 	})
 }
 
+// Guards against a pointer that moves back, or to a bundle other than the stored one.
+func TestRollNeverReverts(t *testing.T) {
+	Convey("a sequence below the one in force is a conflict", t, func() {
+		b := newBench(t)
+		older := b.signed(t, "ana", "eva", "older")
+		b.store.Put(storer.KindBundlePointer, storer.CurrentName, roller.Pointer{
+			Sequence: 5,
+			RolledBy: "leo",
+		})
+		shouldExit(b.run("ana", "bundle roll --file "+older), 3, "leo", "sequence 5")
+		So(b.sequence(), ShouldEqual, 5)
+	})
+	Convey("a sequence whose bundle was stored but not put in force is taken", t, func() {
+		b := newBench(t)
+		mine := b.signed(t, "ana", "eva", "mine")
+		theirs := b.signed(t, "leo", "eva", "theirs")
+		b.store.Order(keeper.Faults{
+			DownAfter: 1,
+		})
+		shouldExit(b.run("leo", "bundle roll --file "+theirs), 4)
+		b.store.Order(keeper.Faults{})
+		shouldExit(b.run("ana", "bundle roll --file "+mine), 3, "bundle 1 by leo")
+		So(b.sequence(), ShouldEqual, 0)
+		shouldExit(b.run("ana", "bundle roll --file "+b.signed(t, "ana", "eva", "again")), 0, "bundle 2 is in force")
+	})
+}
+
 // Guards against rollouts without a second person, and members counted as confirmed that are not.
 func TestApprovalAndConfirmation(t *testing.T) {
 	Convey("an author cannot approve", t, func() {
@@ -251,25 +300,20 @@
 	})
 	Convey("members confirm in their records", t, func() {
 		b := newBench(t)
-		for i, instance := range []namer.Instance{"entry-1", "entry-2"} {
-			b.store.Put(storer.KindMember, string(instance), tracker.Member{
-				Holder: namer.Holder{
-					Instance: instance,
-				},
-				State:          tracker.StateServing,
-				BundleSequence: int64(i),
-			})
-		}
+		b.member("entry-1", tracker.StateServing, 0)
+		b.member("entry-2", tracker.StateServing, 1)
+		b.member("entry-3", tracker.StateLeft, 0)
 		rolled := b.run("ana", "bundle roll --wait 9s --json --file "+b.signed(t, "ana", "eva", "base"))
 		shouldExit(rolled, 0)
 		var decoded struct {
 			Members []struct {
 				Instance  string
 				Confirmed bool
+				Renewed   bool
 			}
 		}
 		So(json.Unmarshal([]byte(rolled.output), &decoded), ShouldBeNil)
-		So(fmt.Sprint(decoded.Members), ShouldEqual, "[{entry-1 false} {entry-2 true}]")
+		So(fmt.Sprint(decoded.Members), ShouldEqual, "[{entry-1 false false} {entry-2 true false}]")
 		shouldExit(b.run("ana", "status"), 0, "bundle in force: 1", "entry-2")
 		shouldExit(b.run("ana", "bundle show"), 0, "author ana, approver eva, signature valid", "default_deadline: 30s")
 		shouldExit(b.run("ana", "bundle diff --file "+examples+"bundle.yaml"), 0, "note")
@@ -343,6 +387,71 @@
 	})
 }
 
+// Guards against listings that stop after the first page.
+func TestStatusPages(t *testing.T) {
+	Convey("all members are listed", t, func() {
+		b := newBench(t)
+		for i := range 120 {
+			b.member(namer.Instance(fmt.Sprintf("entry-%03d", i)), tracker.StateServing, 1)
+		}
+		status := b.run("ana", "status")
+		shouldExit(status, 0)
+		So(strings.Count(status.output, "entry-"), ShouldEqual, 120)
+	})
+}
+
+func refusal(id string, customer namer.Customer, reason refuser.Reason, at time.Time) refuser.Record {
+	return refuser.Record{
+		ID:       id,
+		Customer: customer,
+		Reason:   reason,
+		At:       at,
+	}
+}
+
+// Guards against filters that hide a refusal or show those of another customer.
+func TestRefusals(t *testing.T) {
+	b := newBench(t)
+	noon := time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
+	b.store.Put(storer.KindRefusal, "entry-1.x.00000001", recorder.Batch{
+		Records: []refuser.Record{
+			refusal("entry-1.x.00000001.0", "crew", refuser.QueueFull, noon.Add(-time.Minute)),
+			refusal("entry-1.x.00000001.1", "wigs", refuser.QueueFull, noon.Add(-2*time.Hour)),
+			refusal("entry-1.x.00000001.2", "crew", refuser.Leaving, noon.Add(-3*time.Hour)),
+		},
+	})
+	tests := []struct {
+		name    string
+		options string
+		want    []string
+		code    int
+		wantErr string
+	}{
+		{"all, oldest first", "", []string{"2", "1", "0"}, 0, ""},
+		{"customer", "--customer crew", []string{"2", "0"}, 0, ""},
+		{"duration", "--since 1h", []string{"0"}, 0, ""},
+		{"time", "--since 2026-01-31T09:30:00Z", []string{"1", "0"}, 0, ""},
+		{"reason", "--reason leaving", []string{"2"}, 0, ""},
+		{"id", "--id entry-1.x.00000001.1", []string{"1"}, 0, ""},
+		{"unknown reason", "--reason late", nil, 2, "use one of"},
+		{"bad time", "--since yesterday", nil, 2, "neither a duration"},
+		{"record not stored", "--id entry-1.x.00000002.1", nil, 1, "no record"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			listed := b.run("ana", "refusals --json "+test.options)
+			shouldExit(listed, test.code, test.wantErr)
+			var records []refuser.Record
+			_ = json.Unmarshal([]byte(listed.output), &records)
+			var got []string
+			for _, record := range records {
+				got = append(got, strings.TrimPrefix(record.ID, "entry-1.x.00000001."))
+			}
+			So(got, ShouldResemble, test.want)
+		})
+	}
+}
+
 // Guards against reasons that the operators' page does not explain.
 func TestOperatingPage(t *testing.T) {
 	Convey("every reason is on the page", t, func() {
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -1,6 +1,7 @@
 package storer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -161,7 +162,11 @@
 	}
 	if c.body != nil {
 		req.Header.SetContentTypeBytes([]byte("application/json"))
-		req.SetBody(c.body)
+	}
+	if c.condition != "" {
+		// The library repeats a PUT or DELETE by itself when a pooled connection closes without an answer, unless
+		// the body is a stream. A repeated conditional write conflicts with its own first attempt.
+		req.SetBodyStream(bytes.NewReader(c.body), len(c.body))
 	}
 	timeout := h.timeout
 	if c.timeout > 0 {
