--- a/internal/cmd/refusals/lister.go
+++ b/internal/cmd/refusals/lister.go
@@ -65,6 +65,11 @@
 	flags.BoolVar(&o.JSON, "json", false, "print records as JSON")
 }
 
+// result is what --json prints.
+type result struct {
+	Records []refuser.Record `json:"records"`
+}
+
 func run(ctx context.Context, o Options) error {
 	filter, err := o.filter()
 	if err != nil {
@@ -89,7 +94,9 @@
 		return a.At.Compare(b.At)
 	})
 	if o.JSON {
-		return o.Factory.JSON(records)
+		return o.Factory.JSON(result{
+			Records: records,
+		})
 	}
 	return printRecords(o.Factory, records)
 }
--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -441,10 +441,10 @@
 		Convey(test.name, t, func() {
 			listed := b.run("ana", "refusals --json "+test.options)
 			shouldExit(listed, test.code, test.wantErr)
-			var records []refuser.Record
-			_ = json.Unmarshal([]byte(listed.output), &records)
+			var decoded struct{ Records []refuser.Record }
+			_ = json.Unmarshal([]byte(listed.output), &decoded)
 			var got []string
-			for _, record := range records {
+			for _, record := range decoded.Records {
 				got = append(got, strings.TrimPrefix(record.ID, "entry-1.x.00000001."))
 			}
 			So(got, ShouldResemble, test.want)
