--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -361,6 +361,7 @@
 		want string
 	}{
 		{"instance settings", "config check --instance --settings " + examples + "instance.yaml", "valid"},
+		{"settings before the command", "--settings " + examples + "operator.yaml config check", "operator.yaml: valid"},
 		{"operator settings", "config check --settings " + examples + "operator.yaml", "valid"},
 		{"targets", "target add --file " + examples + "targets.yaml", "ledger-1: written"},
 		{"bundle", "bundle create --file " + examples + "bundle.yaml", "author: ana"},
@@ -376,6 +377,7 @@
 	} {
 		Convey("help of "+line, t, func() {
 			shouldExit(b.run("ana", line+" --help"), 0, "Example:", "bergamothollow "+line, "-settings")
+			shouldExit(b.run("ana", "--settings none.yaml "+line+" --help"), 0, "Example:")
 		})
 	}
 	Convey("a key file is private and not overwritten", t, func() {
--- a/internal/factory/command.go
+++ b/internal/factory/command.go
@@ -120,9 +120,16 @@
 	if usage != nil {
 		top.Usage = func() { f.Warnf("%s", usage()) }
 	}
+	if usage == nil {
+		top.StringVar(&f.SettingsFile, "settings", f.SettingsFile, "settings file")
+		commander.ImportantFlag("settings")
+		commander.Register(commander.FlagsCommand(), "")
+	}
 	if err := top.Parse(helpFirst(arguments)); err != nil {
 		return ExitUsage
 	}
+	// What is left starts with a command; its help flag counts although flags stood before it.
+	_ = top.Parse(helpFirst(top.Args()))
 	return commander.Execute(ctx)
 }
 
