--- /dev/null
+++ b/internal/loader/client.go
@@ -0,0 +1,200 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"bergamothollow.example/bergamothollow/pkg/refuser"
+)
+
+const (
+	dialTimeout    = time.Second
+	addressTimeout = 2 * time.Second
+	maxEventBytes  = 1 << 20
+	maxConnections = 10_000
+)
+
+var (
+	errDone  = errors.New("stream done")
+	errEmpty = errors.New("the instance gave no address")
+	errEarly = errors.New("the stream ended early")
+)
+
+// refusal is a refusal as callers receive it.
+type refusal struct {
+	Reason       refuser.Reason `json:"type"`
+	Message      string         `json:"message"`
+	Ran          refuser.Ran    `json:"ran"`
+	RetryAfterMS int64          `json:"retry_after_ms"`
+}
+
+// Error describes the refusal.
+func (r *refusal) Error() string {
+	return fmt.Sprintf("%s (ran: %s): %s", r.Reason, r.Ran, r.Message)
+}
+
+// wrongError means that an answer is not the one that was asked for.
+type wrongError struct {
+	message string
+}
+
+// Error describes the wrong answer.
+func (e *wrongError) Error() string {
+	return e.message
+}
+
+// event is one event of a completion's stream.
+type event struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	TokenIndex int      `json:"token_index"`
+	Error      *refusal `json:"error"`
+}
+
+// httpClient calls instances.
+type httpClient struct {
+	streams *client.Client
+	calls   *client.Client
+}
+
+func newHTTPClient() (*httpClient, error) {
+	// The standard dialer is used because closing its connection ends a blocked read.
+	options := []config.ClientOption{
+		client.WithDialTimeout(dialTimeout),
+		client.WithDialer(standard.NewDialer()),
+		client.WithMaxConnsPerHost(maxConnections),
+	}
+	calls, err := client.NewClient(options...)
+	if err != nil {
+		return nil, err
+	}
+	streams, err := client.NewClient(append(options, client.WithResponseBodyStream(true))...)
+	if err != nil {
+		return nil, err
+	}
+	return &httpClient{
+		streams: streams,
+		calls:   calls,
+	}, nil
+}
+
+// addresses asks an instance which addresses to use.
+func (h *httpClient) addresses(address string) (addressAnswer, error) {
+	var answer addressAnswer
+	req, resp := &protocol.Request{}, &protocol.Response{}
+	req.SetRequestURI("http://" + address + "/v1/address")
+	if err := h.calls.DoTimeout(context.Background(), req, resp, addressTimeout); err != nil {
+		return answer, err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return answer, readRefusal(resp)
+	}
+	if err := json.Unmarshal(resp.Body(), &answer); err != nil {
+		return answer, err
+	}
+	if len(answer.Addresses) == 0 {
+		return answer, errEmpty
+	}
+	return answer, nil
+}
+
+// stream sends a completion and hands each event to receive until the answer is done.
+// A read that takes longer than silence breaks the stream, once the first event has arrived.
+func (h *httpClient) stream(ctx context.Context, req *protocol.Request, silence time.Duration, receive func(event) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp := &protocol.Response{}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.SetOptions(config.WithReadTimeout(time.Until(deadline)))
+	}
+	if err := h.streams.Do(ctx, req, resp); err != nil {
+		return err
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if resp.StatusCode() != http.StatusOK {
+		return readRefusal(resp)
+	}
+	reader, err := sse.NewReader(resp)
+	if err != nil {
+		return err
+	}
+	reader.SetMaxBufferSize(maxEventBytes)
+	watchdog := time.AfterFunc(time.Hour, cancel)
+	defer watchdog.Stop()
+	err = reader.ForEach(ctx, func(e *sse.Event) error {
+		watchdog.Reset(silence)
+		if string(e.Data) == "[DONE]" {
+			return errDone
+		}
+		var parsed event
+		if err := json.Unmarshal(e.Data, &parsed); err != nil {
+			return &wrongError{
+				message: "an event is not JSON: " + err.Error(),
+			}
+		}
+		if parsed.Error != nil {
+			return parsed.Error
+		}
+		return receive(parsed)
+	})
+	switch {
+	case errors.Is(err, errDone):
+		return nil
+	case err == nil:
+		return errEarly
+	default:
+		return err
+	}
+}
+
+// call sends a service call and returns the response's body and whether it was replayed.
+func (h *httpClient) call(ctx context.Context, req *protocol.Request) (body []byte, replayed bool, err error) {
+	resp := &protocol.Response{}
+	deadline, _ := ctx.Deadline()
+	if err := h.calls.DoDeadline(ctx, req, resp, deadline); err != nil {
+		return nil, false, err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return nil, false, readRefusal(resp)
+	}
+	return resp.Body(), resp.Header.Get("Bergamothollow-Replayed") == "true", nil
+}
+
+func readRefusal(resp *protocol.Response) error {
+	body, err := resp.BodyE()
+	if err != nil {
+		return err
+	}
+	var answer struct {
+		Error *refusal `json:"error"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Error == nil || answer.Error.Reason == "" {
+		return &wrongError{
+			message: fmt.Sprintf("status %d without a refusal: %.200s", resp.StatusCode(), body),
+		}
+	}
+	return answer.Error
+}
+
+func newRequest(address, path, customer string, remaining time.Duration, body []byte) *protocol.Request {
+	req := &protocol.Request{}
+	req.SetMethod(http.MethodPost)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetContentTypeBytes([]byte("application/json"))
+	req.Header.Set("Bergamothollow-Customer", customer)
+	req.Header.Set("Bergamothollow-Deadline", remaining.Round(time.Millisecond).String())
+	req.SetBody(body)
+	return req
+}
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -189,4 +189,3 @@
 		Message: fmt.Sprintf("the body is over %d bytes: shorten it", limit),
 	}
 }
-
