--- /dev/null
+++ b/acceptance/doc.go
@@ -0,0 +1,2 @@
+// Package acceptance has the scenarios of the whole system, which run the real programs.
+package acceptance
