Keep dropped responses and ended streams from touching pooled buffers

The race detector showed two faults of the HTTP library: a response that fails to be written releases the read buffer that the watch for a disconnected client still uses, and an event reader whose context ends late closes a pooled response stream.

--- a/internal/emulator/engine/server.go
+++ b/internal/emulator/engine/server.go
@@ -107,7 +107,9 @@
 		return
 	}
 	defer e.abandon(body.RequestID, s)
-	e.stream(ctx, sse.NewWriter(c), body, s)
+	if !e.stream(ctx, sse.NewWriter(c), body, s) {
+		runner.Drop(c)
+	}
 }
 
 func (e *Engine) check(body Completion) (int, string) {
@@ -147,25 +149,26 @@
 	}
 }
 
-// stream writes the answer until it is finished, cancelled or the connection closes.
-func (e *Engine) stream(ctx context.Context, w *sse.Writer, body Completion, s *stream) {
+// stream writes the answer until it is finished, cancelled or the connection closes; it reports whether the response
+// has ended properly.
+func (e *Engine) stream(ctx context.Context, w *sse.Writer, body Completion, s *stream) bool {
 	// The comment sends the headers, which tell the client that the request is accepted.
 	if w.WriteComment("accepted") != nil {
-		return
+		return false
 	}
 	if body.Group != nil && body.Group.Rank > 0 {
 		if writeEvent(w, HeldEvent{
 			RequestID: body.RequestID,
 			Held:      true,
 		}) != nil {
-			return
+			return false
 		}
 	}
 	for sent := body.ResumeFrom; ; {
 		p := e.progress(s)
 		if p.silent {
 			<-ctx.Done()
-			return
+			return false
 		}
 		if sent < p.produced {
 			if writeEvent(w, TokenEvent{
@@ -173,22 +176,21 @@
 				TokenIndex: sent,
 				Text:       s.answer.Token(sent),
 			}) != nil {
-				return
+				return false
 			}
 			sent++
 			continue
 		}
 		if p.finished || p.cancelled {
-			if p.finished {
-				_ = w.WriteEvent("", "", []byte("[DONE]")) // a closed connection needs no ending
+			if p.finished && w.WriteEvent("", "", []byte("[DONE]")) != nil {
+				return false
 			}
-			_ = w.Close()
-			return
+			return w.Close() == nil
 		}
 		select {
 		case <-s.changed:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/internal/emulator/runner/runner.go
+++ b/internal/emulator/runner/runner.go
@@ -107,9 +107,30 @@
 	})
 }
 
-// Drop closes the connection without a response.
+// Drop makes the server close the connection without a response, or without the rest of one, when the handler returns.
 func Drop(c *app.RequestContext) {
-	_ = c.GetConn().Close()
+	// If a response fails to be written, hertz releases the connection's read buffer while its watch for a
+	// disconnected client still reads into it. A response that writes nothing cannot fail.
+	c.Response.HijackWriter(discard{})
+	c.SetConnectionClose()
+}
+
+// discard is the writer of a response that is not sent.
+type discard struct{}
+
+// Write drops the bytes.
+func (discard) Write(p []byte) (int, error) {
+	return len(p), nil
+}
+
+// Flush does nothing.
+func (discard) Flush() error {
+	return nil
+}
+
+// Finalize does nothing.
+func (discard) Finalize() error {
+	return nil
 }
 
 type listener struct {
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,72 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+)
+
+// Follow hands the data of each event to receive until the response ends, which returns nil, the context ends or
+// receive fails. It closes the response's body.
+//
+// The ForEach of hertz is not used: when its context ends just after the last event, it may close the connection of
+// another response, because response streams are pooled.
+func Follow(ctx context.Context, resp *protocol.Response, maxEventBytes int, receive func(data []byte) error) error {
+	closer := &closer{
+		stream: resp.BodyStream(),
+	}
+	stop := context.AfterFunc(ctx, closer.interrupt)
+	defer func() {
+		stop()
+		closer.end()
+		_ = resp.CloseBodyStream() // nothing more is read from it
+	}()
+	reader, err := sse.NewReader(resp)
+	if err != nil {
+		return err
+	}
+	reader.SetMaxBufferSize(maxEventBytes)
+	event := sse.NewEvent()
+	defer event.Release()
+	for {
+		err := reader.Read(event)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+		if err := receive(event.Data); err != nil {
+			return err
+		}
+	}
+}
+
+// closer interrupts a blocked read by closing its connection, but never after the stream went back to its pool.
+type closer struct {
+	mu     sync.Mutex
+	stream io.Reader
+	ended  bool
+}
+
+func (c *closer) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	if s, ok := c.stream.(interface{ ForceClose() error }); ok {
+		_ = s.ForceClose() // the connection is given up either way
+	}
+}
+
+func (c *closer) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
--- a/internal/loader/client.go
+++ b/internal/loader/client.go
@@ -12,8 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
+	"bergamothollow.example/bergamothollow/internal/follower"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 )
 
@@ -122,24 +122,19 @@
 	if err := h.streams.Do(ctx, req, resp); err != nil {
 		return err
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
 	if resp.StatusCode() != http.StatusOK {
+		defer func() { _ = resp.CloseBodyStream() }()
 		return readRefusal(resp)
 	}
-	reader, err := sse.NewReader(resp)
-	if err != nil {
-		return err
-	}
-	reader.SetMaxBufferSize(maxEventBytes)
 	watchdog := time.AfterFunc(time.Hour, cancel)
 	defer watchdog.Stop()
-	err = reader.ForEach(ctx, func(e *sse.Event) error {
+	err := follower.Follow(ctx, resp, maxEventBytes, func(data []byte) error {
 		watchdog.Reset(silence)
-		if string(e.Data) == "[DONE]" {
+		if string(data) == "[DONE]" {
 			return errDone
 		}
 		var parsed event
-		if err := json.Unmarshal(e.Data, &parsed); err != nil {
+		if err := json.Unmarshal(data, &parsed); err != nil {
 			return &wrongError{
 				message: "an event is not JSON: " + err.Error(),
 			}
