--- /dev/null
+++ b/pkg/elector/bench_test.go
@@ -0,0 +1,84 @@
+package elector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/elector"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/tracker"
+)
+
+const (
+	benchMembers = 8
+	benchTargets = 28
+)
+
+func benchHolder(i int) namer.Holder {
+	return namer.Holder{
+		Instance:    namer.Instance(fmt.Sprintf("i%d", i)),
+		Incarnation: "a",
+	}
+}
+
+// benchElector is one member of a full cell in steady state.
+func benchElector(now time.Time) *elector.Elector {
+	el := elector.New(elector.DefaultOptions(benchHolder(0)), now)
+	table := elector.Table{
+		Entries: map[namer.Target]*elector.Entry{},
+	}
+	var targets []elector.Target
+	for i := range benchTargets {
+		id := namer.Target(fmt.Sprintf("t%02d", i))
+		targets = append(targets, elector.Target{
+			ID: id,
+		})
+		table.Entries[id] = &elector.Entry{
+			Owner:     benchHolder(i % benchMembers),
+			Successor: benchHolder((i + 1) % benchMembers),
+			Epoch:     1,
+		}
+	}
+	var members []tracker.Member
+	for i := range benchMembers {
+		members = append(members, tracker.Member{
+			Holder: benchHolder(i),
+			State:  tracker.StateServing,
+			Number: 1,
+		})
+	}
+	el.Handle(elector.TargetsRead{Targets: targets}, now)
+	el.Handle(elector.TableRead{Requested: now, Version: 1, Table: table}, now)
+	el.Handle(elector.MembersRead{Requested: now, Members: members}, now)
+	return el
+}
+
+func BenchmarkTick(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	el := benchElector(now)
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(250 * time.Millisecond)
+		if i%4 == 0 {
+			el.Handle(elector.HeartbeatSent{Number: int64(i)}, now)
+			hearAll(el, int64(i), now)
+		}
+		el.Handle(elector.Tick{}, now)
+	}
+}
+
+func hearAll(el *elector.Elector, number int64, now time.Time) {
+	for i := 1; i < benchMembers; i++ {
+		el.Handle(elector.HeartbeatHeard{
+			From:         benchHolder(i),
+			State:        tracker.StateServing,
+			Number:       number,
+			TableVersion: 1,
+			Heard: []tracker.Heard{{
+				Holder: benchHolder(0),
+				Number: number,
+			}},
+		}, now)
+	}
+}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -19,6 +19,8 @@
 	retryEvery = time.Second
 	// reclaimAfter gives the successor that fenced a target time to write its takeover.
 	reclaimAfter = 5 * time.Second
+	// assignAfter lets the members of a cell that starts as a whole be seen before targets are assigned.
+	assignAfter = 4 * time.Second
 	// settleTime is how long the set of live members must be unchanged before targets are moved.
 	settleTime = 30 * time.Second
 	// sentKept bounds the numbers whose sending time is remembered.
--- a/pkg/elector/write.go
+++ b/pkg/elector/write.go
@@ -315,7 +315,7 @@
 
 // assign gives targets without an entry to the members with the fewest targets.
 func (e *Elector) assign(next *Table, now time.Time) bool {
-	if !e.lowestLive(now) {
+	if !e.lowestLive(now) || now.Sub(e.liveSince) < assignAfter {
 		return false
 	}
 	changed := false
