--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -19,6 +19,8 @@
 	retryEvery = time.Second
 	// reclaimAfter gives the successor that fenced a target time to write its takeover.
 	reclaimAfter = 5 * time.Second
+	// assignAfter lets the members of a cell that starts as a whole be seen before targets are assigned.
+	assignAfter = 4 * time.Second
 	// settleTime is how long the set of live members must be unchanged before targets are moved.
 	settleTime = 30 * time.Second
 	// sentKept bounds the numbers whose sending time is remembered.
@@ -143,9 +145,12 @@
 	members map[namer.Holder]tracker.Member
 	listed  map[namer.Instance]bool
 
-	membersAt  time.Time
-	listedAt   time.Time
-	liveKey    string
+	membersAt time.Time
+	listedAt  time.Time
+	// liveNow are the live members at liveAt; settled are those since liveSince.
+	liveNow    []namer.Holder
+	liveAt     time.Time
+	settled    []namer.Holder
 	liveSince  time.Time
 	roles      map[namer.Target]*role
 	order      []namer.Target
