--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,18 @@
+// Command bench measures the request path against its targets and baselines.
+package main
+
+import (
+	"flag"
+	"os"
+
+	"bergamothollow.example/bergamothollow/internal/bencher"
+)
+
+func main() {
+	var options bencher.Options
+	flag.Uint64Var(&options.Seed, "seed", 1, "seed of the workload and the samples")
+	flag.BoolVar(&options.Quick, "quick", false, "shorter runs, one seed")
+	flag.DurationVar(&options.Length, "length", 0, "time of one run on the manual clock (default 5m, 1m with -quick)")
+	flag.Parse()
+	bencher.Run(options, os.Stdout)
+}
