--- a/internal/bencher/instance.go
+++ b/internal/bencher/instance.go
@@ -351,7 +351,12 @@
 		}
 		if rank == 0 {
 			j.onToken = func(index int) {
-				w.loop.after(delay, func() { in.token(c, index) })
+				if index == 0 {
+					w.loop.after(delay, func() { in.token(c, index) })
+					return
+				}
+				// The delay of later tokens changes no decision and would double the events of a run.
+				in.token(c, index)
 			}
 		}
 		j.onEnd = func(failed bool) {
