--- a/pkg/deduplicator/shard.go
+++ b/pkg/deduplicator/shard.go
@@ -58,14 +58,18 @@
 	Record Record
 }
 
-// WriteShard writes the object at a version (0: create); report to ShardWritten, ShardRead or ShardFailed.
+// WriteShard writes the object at a version (0: create); report with the same Call to ShardWritten, ShardRead (on a
+// conflict) or ShardFailed.
 type WriteShard struct {
+	Call    int64
 	Version int64
 	Object  ShardObject
 }
 
-// ReadShard reads the object; report to ShardRead or ShardFailed.
-type ReadShard struct{}
+// ReadShard reads the object; report with the same Call to ShardRead or ShardFailed.
+type ReadShard struct {
+	Call int64
+}
 
 // Applied says that the change is stored.
 type Applied struct {
@@ -98,14 +102,19 @@
 	records  map[string]Record
 	loaded   bool
 	number   int64
-	waiting  []Change
-	oldest   time.Time
-	batch    []Change
-	next     map[string]Record
-	busy     bool
+	// call numbers the calls of the store; answers to other calls than the last are ignored.
+	call    int64
+	waiting []Change
+	oldest  time.Time
+	batch   []Change
+	next    map[string]Record
+	busy    bool
 	// uncertain means that the open write may have taken effect.
 	uncertain bool
-	deadline  time.Time
+	// open holds the changes of unanswered writes at the current version: until the version moves on, such a write may
+	// still take effect, also after the object was read back unchanged.
+	open     map[int64]bool
+	deadline time.Time
 }
 
 // NewShard returns a shard that reads its object before it writes.
@@ -127,29 +136,29 @@
 // Tick writes a batch that has waited long enough.
 func (s *Shard) Tick(now time.Time) []Action {
 	if s.busy && !now.Before(s.deadline) {
-		s.uncertain = s.next != nil
+		s.doubt()
 		return s.read(now)
 	}
 	return s.decide(now)
 }
 
 // ShardWritten takes the confirmation of the open write.
-func (s *Shard) ShardWritten(version int64, now time.Time) []Action {
-	if !s.busy || s.next == nil {
+func (s *Shard) ShardWritten(call, version int64, now time.Time) []Action {
+	if call != s.call || !s.busy || s.next == nil {
 		return nil
 	}
 	return s.confirm(version, now)
 }
 
 // ShardRead takes the object as it is now: after a conflict, a lost answer, or at the start (version 0: absent).
-func (s *Shard) ShardRead(version int64, o ShardObject, now time.Time) []Action {
-	if !s.busy || version < s.version {
+func (s *Shard) ShardRead(call, version int64, o ShardObject, now time.Time) []Action {
+	if call != s.call || !s.busy || version < s.version {
 		return nil
 	}
 	if s.next != nil && o.Writer == s.settings.Holder && o.WriteNumber == s.number {
 		return s.confirm(version, now)
 	}
-	s.version = version
+	s.advance(version)
 	s.records = o.Records
 	s.loaded = true
 	s.busy = false
@@ -162,17 +171,15 @@
 }
 
 // ShardFailed fails the open batch; lost tells that the write may have taken effect.
-func (s *Shard) ShardFailed(lost bool, now time.Time) []Action {
-	if !s.busy {
+func (s *Shard) ShardFailed(call int64, lost bool, now time.Time) []Action {
+	if call != s.call || !s.busy {
 		return nil
 	}
 	if lost && s.next != nil && !s.uncertain {
-		s.uncertain = true
+		s.doubt()
 		return s.read(now)
 	}
 	failed := slices.Concat(s.batch, s.waiting)
-	wrote := len(s.batch)
-	uncertain := s.uncertain
 	s.loaded = false
 	s.busy = false
 	s.uncertain = false
@@ -180,10 +187,10 @@
 	s.batch = nil
 	s.waiting = nil
 	actions := make([]Action, 0, len(failed))
-	for i, c := range failed {
+	for _, c := range failed {
 		actions = append(actions, Failed{
 			ID:   c.ID,
-			Lost: uncertain && i < wrote,
+			Lost: s.open[c.ID],
 		})
 	}
 	return actions
@@ -196,7 +203,7 @@
 			ID: c.ID,
 		})
 	}
-	s.version = version
+	s.advance(version)
 	s.records = s.next
 	s.next = nil
 	s.batch = nil
@@ -205,10 +212,35 @@
 	return append(actions, s.decide(now)...)
 }
 
+// doubt notes that the open write may take effect unnoticed.
+func (s *Shard) doubt() {
+	if s.next == nil {
+		return
+	}
+	s.uncertain = true
+	if s.open == nil {
+		s.open = map[int64]bool{}
+	}
+	for _, c := range s.batch {
+		s.open[c.ID] = true
+	}
+}
+
+// advance moves to a version; writes that were conditional on an earlier one can no longer take effect.
+func (s *Shard) advance(version int64) {
+	if version > s.version {
+		s.open = nil
+	}
+	s.version = version
+}
+
 func (s *Shard) read(now time.Time) []Action {
 	s.busy = true
 	s.deadline = now.Add(s.settings.AnswerTimeout)
-	return []Action{ReadShard{}}
+	s.call++
+	return []Action{ReadShard{
+		Call: s.call,
+	}}
 }
 
 func (s *Shard) decide(now time.Time) []Action {
@@ -244,10 +276,12 @@
 		return actions
 	}
 	s.number++
+	s.call++
 	s.next = next
 	s.busy = true
 	s.deadline = now.Add(s.settings.AnswerTimeout)
 	return append(actions, WriteShard{
+		Call:    s.call,
 		Version: s.version,
 		Object: ShardObject{
 			Writer:      s.settings.Holder,
--- /dev/null
+++ b/pkg/deduplicator/shard_test.go
@@ -0,0 +1,209 @@
+package deduplicator
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// shardWorld has two processes that both believe to own one shard.
+type shardWorld struct {
+	draw    choose
+	blind   bool
+	now     time.Time
+	version int64
+	object  ShardObject
+	shards  []*Shard
+	wire    []func()
+	id      int64
+	changes map[int64]Change
+	outcome map[int64]Action
+	quiet   bool
+}
+
+func newShardWorld(draw choose, blind bool) *shardWorld {
+	w := &shardWorld{
+		draw:    draw,
+		blind:   blind,
+		now:     time.Unix(1000, 0),
+		changes: map[int64]Change{},
+		outcome: map[int64]Action{},
+	}
+	for i := range 2 {
+		settings := DefaultShardSettings(shardHolder(i))
+		settings.MaxChanges = 3
+		w.shards = append(w.shards, NewShard(settings))
+	}
+	return w
+}
+
+func shardHolder(i int) namer.Holder {
+	return namer.Holder{
+		Instance:    namer.Instance(fmt.Sprint("i", i)),
+		Incarnation: "1",
+	}
+}
+
+func (w *shardWorld) run(steps int) error {
+	for range steps {
+		i := w.draw("shard", len(w.shards))
+		switch w.draw("step", 8) {
+		default:
+			w.deliver(w.draw("message", 8))
+		case 4, 5:
+			w.submit(i)
+		case 6:
+			w.tick(20 * time.Millisecond)
+		case 7:
+			w.tick(2 * time.Second)
+		}
+	}
+	w.quiet = true
+	for range 100 {
+		w.deliver(0)
+		w.tick(20 * time.Millisecond)
+	}
+	return w.check()
+}
+
+func (w *shardWorld) submit(i int) {
+	w.id++
+	change := Change{
+		ID:   w.id,
+		Name: fmt.Sprint("key", w.draw("key", 4)),
+		Record: Record{
+			State:    StateStarted,
+			Holder:   shardHolder(i),
+			Attempt:  w.id,
+			Deadline: w.now.Add(time.Hour),
+		},
+	}
+	w.changes[w.id] = change
+	w.do(i, w.shards[i].Submit(change, w.now))
+}
+
+func (w *shardWorld) tick(d time.Duration) {
+	w.now = w.now.Add(d)
+	for i, s := range w.shards {
+		w.do(i, s.Tick(w.now))
+	}
+}
+
+func (w *shardWorld) deliver(n int) {
+	if len(w.wire) == 0 {
+		return
+	}
+	n %= len(w.wire)
+	happen := w.wire[n]
+	w.wire = slices.Delete(w.wire, n, n+1)
+	happen()
+}
+
+func (w *shardWorld) do(i int, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case WriteShard:
+			w.wire = append(w.wire, func() { w.write(i, a) })
+		case ReadShard:
+			w.wire = append(w.wire, func() { w.do(i, w.shards[i].ShardRead(a.Call, w.version, w.object, w.now)) })
+		case Applied:
+			w.outcome[a.ID] = a
+		case Rejected:
+			w.outcome[a.ID] = a
+		case Failed:
+			w.outcome[a.ID] = a
+		}
+	}
+}
+
+func (w *shardWorld) write(i int, a WriteShard) {
+	fate := 0
+	if !w.quiet {
+		fate = w.draw("write", 6)
+	}
+	switch {
+	case fate == 5:
+		w.do(i, w.shards[i].ShardFailed(a.Call, true, w.now))
+	case fate == 4:
+		w.wire = append(w.wire, func() { w.apply(a) })
+		w.do(i, w.shards[i].ShardFailed(a.Call, true, w.now))
+	case fate == 3:
+		w.do(i, w.shards[i].ShardFailed(a.Call, false, w.now))
+	case !w.apply(a):
+		w.do(i, w.shards[i].ShardRead(a.Call, w.version, w.object, w.now))
+	case fate == 2:
+		w.do(i, w.shards[i].ShardFailed(a.Call, true, w.now))
+	default:
+		w.do(i, w.shards[i].ShardWritten(a.Call, w.version, w.now))
+	}
+}
+
+func (w *shardWorld) apply(a WriteShard) bool {
+	if a.Version != w.version && !w.blind {
+		return false
+	}
+	w.version++
+	w.object = a.Object
+	return true
+}
+
+func (w *shardWorld) check() error {
+	for _, id := range slices.Sorted(maps.Keys(w.changes)) {
+		change := w.changes[id]
+		stored := w.object.Records[change.Name].Attempt == id
+		switch o := w.outcome[id].(type) {
+		case nil:
+			return fmt.Errorf("change %d has no outcome", id)
+		case Applied:
+			if !stored {
+				return fmt.Errorf("change %d was confirmed and is not stored", id)
+			}
+		case Failed:
+			if stored && !o.Lost {
+				return fmt.Errorf("change %d is stored and was reported as not written", id)
+			}
+		case Rejected:
+			if stored && o.Record.Attempt != id {
+				return fmt.Errorf("change %d is stored and was rejected for another", id)
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against a call that is sent on a claim which another owner of the shard has overwritten.
+func TestShardKeepsConfirmedChanges(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newShardWorld(func(label string, n int) int {
+			return rapid.IntRange(0, n-1).Draw(r, label)
+		}, false)
+		if err := w.run(60); err != nil {
+			r.Fatal(err)
+		}
+	})
+}
+
+// Guards against a shard test that holds without conditional writes.
+func TestShardWithoutConditionsIsCaught(t *testing.T) {
+	err := errors.New("not caught")
+	for seed := range uint64(searchLimit) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		w := newShardWorld(func(_ string, n int) int { return random.IntN(n) }, true)
+		if found := w.run(60); found != nil {
+			t.Logf("caught with seed %d: %v", seed, found)
+			err = nil
+			break
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
