--- a/pkg/roller/parse.go
+++ b/pkg/roller/parse.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -39,14 +41,19 @@
 	}
 	var fault yaml.Error
 	if !errors.As(err, &fault) || fault.GetToken() == nil {
+		locateDuration(located, content)
 		return located
 	}
 	located.Line = fault.GetToken().Position.Line
 	located.Cause = fault.GetMessage()
 	located.Field = fieldAt(content, located.Line)
 	var unknown *yaml.UnknownFieldError
-	if errors.As(err, &unknown) {
+	switch {
+	case errors.As(err, &unknown):
 		located.Cause = "unknown key: remove it or correct its spelling"
+	case strings.Contains(fault.GetMessage(), "already defined"):
+		// The parser rejects the whole content, so the token is all that is known of the place.
+		located.Field = fault.GetToken().Value
 	}
 	return located
 }
@@ -94,25 +101,61 @@
 
 // lineOf returns the line of the path, or of its deepest part that is in the file.
 func lineOf(content []byte, path []string) int {
-	root, err := parseRoot(content)
+	node, err := parseRoot(content)
 	if err != nil {
 		return 1
 	}
 	line := 1
-	for n := 1; n <= len(path); n++ {
-		builder := (&yaml.PathBuilder{}).Root()
-		for _, part := range path[:n] {
-			builder = builder.Child(part)
-		}
-		node, err := builder.Build().FilterNode(root)
-		if err != nil || node == nil || node.GetToken() == nil {
+	for _, part := range path {
+		var found int
+		node, found = child(node, part)
+		if node == nil {
 			break
 		}
-		line = node.GetToken().Position.Line
+		line = found
 	}
 	return line
 }
 
+// child returns the node under a key or index, and the line where it begins.
+func child(node ast.Node, part string) (ast.Node, int) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		for _, entry := range n.Values {
+			if entry.Key.String() == part {
+				return entry.Value, entry.Key.GetToken().Position.Line
+			}
+		}
+	case *ast.SequenceNode:
+		i, err := strconv.Atoi(part)
+		if err == nil && i < len(n.Values) {
+			return n.Values[i], n.Values[i].GetToken().Position.Line
+		}
+	}
+	return nil, 0
+}
+
+// locateDuration finds the duration that cannot be parsed, because the decoder's error does not name it.
+func locateDuration(located *ParseError, content []byte) {
+	root, err := parseRoot(content)
+	if err != nil {
+		return
+	}
+	rules, _ := child(root, "rules")
+	for _, field := range []string{"default_deadline", "max_deadline"} {
+		value, line := child(rules, field)
+		if value == nil {
+			continue
+		}
+		if _, err := time.ParseDuration(value.String()); err != nil {
+			located.Line = line
+			located.Field = "rules." + field
+			located.Cause = "not a duration: write it like 30s or 5m"
+			return
+		}
+	}
+}
+
 func parseRoot(content []byte) (ast.Node, error) {
 	tree, err := parser.ParseBytes(content, 0)
 	if err != nil {
