--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -32,7 +32,9 @@
 	ControlReserve float64
 	// BudgetWait is how long a call waits for the budget before it fails with a BudgetError.
 	BudgetWait time.Duration
-	Retry      RetryPolicy
+	// ListPage is the number of objects read by one list call.
+	ListPage int
+	Retry    RetryPolicy
 }
 
 // DefaultClientSettings returns the settings for a budget of calls per second.
@@ -42,6 +44,7 @@
 		Burst:          max(2*callsPerSecond, minBurst),
 		ControlReserve: callsPerSecond / 2,
 		BudgetWait:     500 * time.Millisecond,
+		ListPage:       500,
 		Retry:          DefaultRetryPolicy(),
 	}
 }
@@ -197,9 +200,6 @@
 	return err
 }
 
-// listPage is the number of objects read by one list call.
-const listPage = 500
-
 // ListAll reads all objects of a kind whose names start with prefix; its version is that of the first page, so that a
 // watch from there misses no change made while later pages were read.
 func (c *Client) ListAll(ctx context.Context, priority Priority, kind Kind, prefix string) (Listing, error) {
@@ -207,7 +207,7 @@
 	after := ""
 	for first := true; ; first = false {
 		page, err := retryRead(ctx, c, func() (Listing, error) {
-			return c.Once(priority).List(ctx, kind, prefix, after, listPage)
+			return c.Once(priority).List(ctx, kind, prefix, after, c.settings.ListPage)
 		})
 		if err != nil {
 			return Listing{}, err
@@ -216,7 +216,7 @@
 			all.Version = page.Version
 		}
 		all.Items = append(all.Items, page.Items...)
-		if len(page.Items) < listPage {
+		if len(page.Items) < c.settings.ListPage {
 			return all, nil
 		}
 		after = page.Items[len(page.Items)-1].Name
--- /dev/null
+++ b/pkg/storer/client_test.go
@@ -0,0 +1,212 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// TestMain raises the default number of schedules; -rapid.checks on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "3000"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func newTestClient(store Store, clock *skipClock) *Client {
+	settings := DefaultClientSettings(100)
+	// Short pages make lists overlap with changes.
+	settings.ListPage = 2
+	return NewClient(store, settings, clock, rand.New(rand.NewPCG(1, 1)))
+}
+
+func stampOf(writer string, number int64) (Stamp, json.RawMessage) {
+	stamp := Stamp{
+		Writer:      namer.Holder{Instance: namer.Instance(writer)},
+		WriteNumber: number,
+	}
+	value, _ := json.Marshal(stamp)
+	return stamp, value
+}
+
+// writeAlone lets one client write an object again and again over a faulty store; nobody else writes.
+func writeAlone(draw choose, readBack bool) error {
+	clock := &skipClock{now: time.Unix(1000, 0)}
+	store := newFaultyStore(clock)
+	client := newTestClient(store, clock)
+	store.fate = func() fate { return fate(draw("fate", int(fates))) }
+	version := int64(0)
+	for number := int64(1); number <= 6; number++ {
+		stamp, value := stampOf("pier-1", number)
+		mine := MineByStamp(stamp)
+		if !readBack {
+			mine = nil
+		}
+		before := store.version
+		written, err := client.Update(context.Background(), PriorityControl, KindCell, "c", version, value, mine)
+		if err := checkOutcome(store, before, written, value, err); err != nil {
+			return err
+		}
+		version = store.version
+	}
+	return nil
+}
+
+func checkOutcome(s *faultyStore, before, written int64, value json.RawMessage, err error) error {
+	var unresolved *UnresolvedError
+	stored := s.version > before
+	switch {
+	case s.version > before+1:
+		return fmt.Errorf("%s was written %d times", value, s.version-before)
+	case err == nil && (!stored || written != s.version):
+		return fmt.Errorf("%s was confirmed at version %d and is not stored there", value, written)
+	case err != nil && stored && !errors.As(err, &unresolved):
+		return fmt.Errorf("%s is stored and was reported as not written: %w", value, err)
+	}
+	return nil
+}
+
+// Guards against a write that took effect unnoticed, is repeated, or is confirmed without being stored, when answers
+// are lost.
+func TestWriteOutcomeIsResolved(t *testing.T) {
+	schedules := 0
+	start := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		schedules++
+		if err := writeAlone(drawFrom(r), true); err != nil {
+			r.Fatal(err)
+		}
+	})
+	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(start).Seconds())
+}
+
+// Guards against a cache that keeps what the store no longer has, after gaps, outages and changes between pages.
+func TestWatcherFollowsStore(t *testing.T) {
+	schedules := 0
+	start := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		schedules++
+		if err := watched(drawFrom(r), false); err != nil {
+			r.Fatal(err)
+		}
+	})
+	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(start).Seconds())
+}
+
+// Guards against properties that hold for any implementation: each mechanism that is left out must be caught.
+func TestVariantsAreCaught(t *testing.T) {
+	for name, run := range map[string]func(choose) error{
+		"no check for own writes": func(draw choose) error { return writeAlone(draw, false) },
+		"gaps are not reported":   func(draw choose) error { return watched(draw, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2000) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				if err := run(func(_ string, n int) int { return random.IntN(n) }); err != nil {
+					t.Logf("caught with seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("not caught")
+		})
+	}
+}
+
+func drawFrom(r *rapid.T) choose {
+	return func(label string, n int) int {
+		return rapid.IntRange(0, n-1).Draw(r, label)
+	}
+}
+
+// Guards against a retry that repeats a write blindly, or gives up while the store can still answer.
+func TestRetryPolicy(t *testing.T) {
+	policy := DefaultRetryPolicy()
+	sent := &UnavailableError{Sent: true, Cause: errLost}
+	for _, c := range []struct {
+		name    string
+		attempt int
+		write   bool
+		err     error
+		want    Decision
+	}{
+		{"read repeated", 1, false, sent, Retry{Delay: 25 * time.Millisecond}},
+		{"write read back", 1, true, sent, Resolve{Delay: 25 * time.Millisecond}},
+		{"write not sent", 2, true, &UnavailableError{Cause: errLost}, Retry{Delay: 50 * time.Millisecond}},
+		{"throttled", 3, true, &ThrottledError{}, Retry{Delay: 100 * time.Millisecond}},
+		{"conflict", 1, true, &ConflictError{}, GiveUp{}},
+		{"budget", 1, true, &BudgetError{}, GiveUp{}},
+		{"attempts spent", 5, true, sent, GiveUp{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			convey.Convey(c.name, t, func() {
+				convey.So(policy.Decide(c.attempt, c.write, c.err, 0), convey.ShouldResemble, c.want)
+			})
+		})
+	}
+	convey.Convey("delays are bounded and spread over the upper half", t, func() {
+		convey.So(policy.delay(40, 0), convey.ShouldEqual, time.Second)
+		convey.So(policy.delay(40, 0.5), convey.ShouldEqual, 1500*time.Millisecond)
+	})
+}
+
+// Guards against call records and refusals that use up the calls which membership and ownership need.
+func TestBudgetKeepsControlReserve(t *testing.T) {
+	clock := &skipClock{now: time.Unix(1000, 0)}
+	settings := DefaultClientSettings(10)
+	settings.BudgetWait = 0
+	client := NewClient(newFaultyStore(clock), settings, clock, rand.New(rand.NewPCG(1, 1)))
+	frozen := clock.now
+	calls := func(priority Priority) int {
+		for n := 0; ; n++ {
+			clock.now = frozen
+			_, err := client.Once(priority).Instances(context.Background())
+			if errors.As(err, new(*BudgetError)) {
+				return n
+			}
+		}
+	}
+	convey.Convey("normal calls leave the reserve, control calls use it", t, func() {
+		convey.So(calls(PriorityNormal), convey.ShouldEqual, 15)
+		convey.So(calls(PriorityControl), convey.ShouldEqual, 5)
+		convey.So(client.Counters().Instances, convey.ShouldEqual, 20)
+		convey.So(client.Counters().BudgetRefusals, convey.ShouldEqual, 2)
+	})
+}
+
+// Guards against a delete whose lost answer is reported as a failure, and a reader that is not told of an old cache.
+func TestDeleteAndAge(t *testing.T) {
+	clock := &skipClock{now: time.Unix(1000, 0)}
+	store := newFaultyStore(clock)
+	version := store.put(KindCall, "k", nil)
+	fatesLeft := []fate{fateLostAfter}
+	store.fate = func() fate {
+		if len(fatesLeft) == 0 {
+			return fateOK
+		}
+		f := fatesLeft[0]
+		fatesLeft = fatesLeft[1:]
+		return f
+	}
+	client := newTestClient(store, clock)
+	watcher := NewWatcher(client, WatcherSettings{Kind: KindCall})
+	convey.Convey("the delete is resolved and the cache ages", t, func() {
+		convey.So(client.Delete(context.Background(), PriorityNormal, KindCall, "k", version), convey.ShouldBeNil)
+		convey.So(client.Counters().ReadBacks, convey.ShouldEqual, 1)
+		convey.So(watcher.Read().Known, convey.ShouldBeFalse)
+		convey.So(watcher.list(context.Background()), convey.ShouldBeNil)
+		clock.now = clock.now.Add(time.Minute)
+		convey.So(watcher.Read().Age, convey.ShouldEqual, time.Minute)
+	})
+}
--- /dev/null
+++ b/pkg/storer/model_test.go
@@ -0,0 +1,255 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+type choose func(label string, n int) int
+
+// skipClock passes any wait at once, so that one goroutine can run a client.
+type skipClock struct {
+	now time.Time
+}
+
+func (c *skipClock) Now() time.Time {
+	return c.now
+}
+
+func (c *skipClock) After(d time.Duration) <-chan time.Time {
+	c.now = c.now.Add(d)
+	fired := make(chan time.Time, 1)
+	fired <- c.now
+	return fired
+}
+
+// faultyStore is a store in memory whose answers can be lost and whose history can be cut.
+type faultyStore struct {
+	clock   *skipClock
+	fate    func() fate
+	between func()
+	version int64
+	objects map[string]Object
+	history []Event
+	cutAt   int64
+	// silentCut leaves out the error that reports a gap.
+	silentCut bool
+}
+
+type fate int
+
+const (
+	fateOK fate = iota
+	fateNotSent
+	fateThrottled
+	fateLostBefore
+	fateLostAfter
+	fates
+)
+
+func newFaultyStore(clock *skipClock) *faultyStore {
+	return &faultyStore{
+		clock:   clock,
+		fate:    func() fate { return fateOK },
+		between: func() {},
+		objects: map[string]Object{},
+	}
+}
+
+var errLost = errors.New("connection closed")
+
+// attempt plays the fate of one call around its effect.
+func (s *faultyStore) attempt(effect func() error) error {
+	s.between()
+	s.clock.now = s.clock.now.Add(time.Millisecond)
+	switch s.fate() {
+	case fateNotSent:
+		return &UnavailableError{Cause: errLost}
+	case fateThrottled:
+		return &ThrottledError{}
+	case fateLostBefore:
+		return &UnavailableError{Sent: true, Cause: errLost}
+	case fateLostAfter:
+		_ = effect()
+		return &UnavailableError{Sent: true, Cause: errLost}
+	default:
+		return effect()
+	}
+}
+
+func (s *faultyStore) put(kind Kind, name string, value json.RawMessage) int64 {
+	s.version++
+	o := Object{
+		Kind:    kind,
+		Name:    name,
+		Version: s.version,
+		Value:   value,
+	}
+	s.objects[name] = o
+	s.history = append(s.history, Event{
+		Type:   EventPut,
+		Object: o,
+	})
+	return s.version
+}
+
+func (s *faultyStore) remove(name string) {
+	o, exists := s.objects[name]
+	if !exists {
+		return
+	}
+	s.version++
+	o.Version = s.version
+	delete(s.objects, name)
+	s.history = append(s.history, Event{
+		Type:   EventDelete,
+		Object: o,
+	})
+}
+
+func (s *faultyStore) Get(_ context.Context, kind Kind, name string) (o Object, err error) {
+	err = s.attempt(func() error {
+		found := false
+		if o, found = s.objects[name]; !found {
+			return &NotFoundError{Kind: kind, Name: name}
+		}
+		return nil
+	})
+	return o, err
+}
+
+func (s *faultyStore) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error) {
+	return s.Update(ctx, kind, name, 0, value)
+}
+
+func (s *faultyStore) Update(_ context.Context, kind Kind, name string, version int64, value json.RawMessage) (v int64, err error) {
+	err = s.attempt(func() error {
+		if s.objects[name].Version != version {
+			return &ConflictError{Kind: kind, Name: name, Current: s.objects[name]}
+		}
+		v = s.put(kind, name, value)
+		return nil
+	})
+	return v, err
+}
+
+func (s *faultyStore) Delete(_ context.Context, kind Kind, name string, version int64) error {
+	return s.attempt(func() error {
+		if s.objects[name].Version != version {
+			return &ConflictError{Kind: kind, Name: name, Current: s.objects[name]}
+		}
+		s.remove(name)
+		return nil
+	})
+}
+
+func (s *faultyStore) List(_ context.Context, _ Kind, prefix, after string, limit int) (l Listing, err error) {
+	err = s.attempt(func() error {
+		l.Version = s.version
+		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+			if strings.HasPrefix(name, prefix) && name > after && len(l.Items) < limit {
+				l.Items = append(l.Items, s.objects[name])
+			}
+		}
+		return nil
+	})
+	return l, err
+}
+
+func (s *faultyStore) Watch(_ context.Context, _ Kind, after int64, wait time.Duration) (c Changes, err error) {
+	err = s.attempt(func() error {
+		if after < s.cutAt && !s.silentCut {
+			return &CompactedError{After: after}
+		}
+		for _, e := range s.history {
+			if e.Object.Version > after && e.Object.Version > s.cutAt {
+				c.Events = append(c.Events, e)
+			}
+		}
+		if len(c.Events) == 0 {
+			s.clock.now = s.clock.now.Add(wait)
+		}
+		c.Version = s.version
+		return nil
+	})
+	return c, err
+}
+
+func (s *faultyStore) Instances(context.Context) ([]ListedInstance, error) {
+	return nil, s.attempt(func() error { return nil })
+}
+
+// watched follows a store that others change, and checks the cache at the end.
+func watched(draw choose, silentCut bool) error {
+	clock := &skipClock{now: time.Unix(1000, 0)}
+	store := newFaultyStore(clock)
+	store.silentCut = silentCut
+	steps := 40
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store.fate = func() fate {
+		if steps <= 0 {
+			return fateOK
+		}
+		return fate(draw("fate", int(fates)))
+	}
+	store.between = func() {
+		steps--
+		if steps > 0 {
+			disturb(store, draw)
+		}
+		// The last calls bring the cache up to date: after at most a list and two watches it must agree.
+		if steps < -4 {
+			cancel()
+		}
+	}
+	replayed := map[string]Object{}
+	w := NewWatcher(newTestClient(store, clock), WatcherSettings{
+		Kind:   KindMember,
+		Prefix: "a",
+		Wait:   time.Second,
+		Deliver: func(e Event) {
+			if e.Type == EventDelete {
+				delete(replayed, e.Object.Name)
+				return
+			}
+			replayed[e.Object.Name] = e.Object
+		},
+	})
+	w.Run(ctx)
+	want := map[string]Object{}
+	for name, o := range store.objects {
+		if strings.HasPrefix(name, "a") {
+			want[name] = o
+		}
+	}
+	return errors.Join(compare("cache", w.Read().Objects, want), compare("delivered events", replayed, want))
+}
+
+func disturb(s *faultyStore, draw choose) {
+	name := []string{"a1", "a2", "a3", "b1"}[draw("name", 4)]
+	switch draw("change", 6) {
+	case 1, 2:
+		s.put(KindMember, name, nil)
+	case 3:
+		s.remove(name)
+	case 4:
+		s.cutAt = s.version
+	}
+}
+
+func compare(what string, got, want map[string]Object) error {
+	same := maps.EqualFunc(got, want, func(a, b Object) bool {
+		return a.Version == b.Version
+	})
+	if same {
+		return nil
+	}
+	return fmt.Errorf("%s has %v, the store %v", what, got, want)
+}
