--- a/internal/changer/changer_test.go
+++ b/internal/changer/changer_test.go
@@ -48,25 +48,26 @@
 	tests := []struct {
 		name    string
 		faults  keeper.Faults
-		other   bool
+		other   string
 		want    string
 		wantErr string
 	}{
-		{"written", keeper.Faults{}, false, `"mine"`, ""},
-		{"answer lost", keeper.Faults{LoseAnswers: 1}, false, `"mine"`, ""},
-		{"write lost and repeated", keeper.Faults{LoseWrites: 1}, false, `"mine"`, ""},
-		{"store down after a lost answer", keeper.Faults{LoseAnswers: 1, DownAfter: 1}, false, `"mine"`, "unknown"},
-		{"other operator first", keeper.Faults{}, true, `"theirs"`, "conflict"},
-		{"other operator first and write lost", keeper.Faults{LoseWrites: 1}, true, `"theirs"`, "conflict after a lost answer"},
-		{"throttled once", keeper.Faults{Throttle: 1}, false, `"mine"`, ""},
-		{"always throttled", keeper.Faults{Throttle: 100}, false, `"base"`, "throttled"},
+		{"written", keeper.Faults{}, "", `"mine"`, ""},
+		{"answer lost", keeper.Faults{LoseAnswers: 1}, "", `"mine"`, ""},
+		{"write lost and repeated", keeper.Faults{LoseWrites: 1}, "", `"mine"`, ""},
+		{"store down after a lost answer", keeper.Faults{LoseAnswers: 1, DownAfter: 1}, "", `"mine"`, "unknown"},
+		{"other operator first", keeper.Faults{}, "theirs", `"theirs"`, "conflict"},
+		{"other operator first and write lost", keeper.Faults{LoseWrites: 1}, "theirs", `"theirs"`, "conflict after a lost answer"},
+		{"other operator made the same change", keeper.Faults{}, "mine", `"mine"`, "conflict"},
+		{"throttled once", keeper.Faults{Throttle: 1}, "", `"mine"`, ""},
+		{"always throttled", keeper.Faults{Throttle: 100}, "", `"base"`, "throttled"},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			store := keeper.New()
 			base := store.Put(storer.KindTarget, "a", "base")
-			if test.other {
-				test.faults.BeforeWrite = func() { store.Put(storer.KindTarget, "a", "theirs") }
+			if test.other != "" {
+				test.faults.BeforeWrite = func() { store.Put(storer.KindTarget, "a", test.other) }
 			}
 			store.Order(test.faults)
 			_, err := Changer{
--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"bergamothollow.example/bergamothollow/internal/bundler"
 	"bergamothollow.example/bergamothollow/internal/configurer"
 	"bergamothollow.example/bergamothollow/internal/emulator/keeper"
 	"bergamothollow.example/bergamothollow/internal/factory"
@@ -298,6 +299,18 @@
 		shouldExit(b.run("ana", "bundle approve --file next.yaml@ --key ana.pem@"), 1, "another person")
 		shouldExit(b.run("eva", "bundle approve --file next.yaml@ --key leo.pem@"), 1, "not signed by the key")
 	})
+	Convey("a bundle that was changed after its approval is not rolled", t, func() {
+		b := newBench(t)
+		b.signed(t, "ana", "eva", "base")
+		signed, err := bundler.ReadSigned(b.path("ana.json"))
+		So(err, ShouldBeNil)
+		signed.Content = bytes.Replace(signed.Content, []byte("base"), []byte("more"), 1)
+		content, err := json.Marshal(signed)
+		So(err, ShouldBeNil)
+		b.write(t, "changed.json", string(content))
+		shouldExit(b.run("ana", "bundle roll --file changed.json@"), 1, "not signed")
+		So(b.sequence(), ShouldEqual, 0)
+	})
 	Convey("members confirm in their records", t, func() {
 		b := newBench(t)
 		b.member("entry-1", tracker.StateServing, 0)
