--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -17,6 +17,8 @@
 	Running        prometheus.Gauge
 	SkippedIO      prometheus.Counter
 	StoreAge       prometheus.Gauge
+	FreeTokens     *prometheus.GaugeVec
+	WarmPercent    *prometheus.GaugeVec
 }
 
 // NewMetrics registers the control metrics.
@@ -27,12 +29,14 @@
 		Queue:          gauge("bergamothollow_queue_requests", "Requests that wait for a target."),
 		Running:        gauge("bergamothollow_running_requests", "Requests placed on a target."),
 		StoreAge:       gauge("bergamothollow_store_age_seconds", "Time since the platform's store last answered, -1 if never."),
+		FreeTokens:     targetGauge("bergamothollow_target_free_tokens", "Memory of an owned target that is neither allocated nor in use."),
+		WarmPercent:    targetGauge("bergamothollow_target_warm_percent", "Place of an owned target on the warm-up ramp."),
 		SkippedIO: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bergamothollow_skipped_io_total",
 			Help: "Control calls that were put off because no worker was free.",
 		}),
 	}
-	registry.MustRegister(m.BundleSequence, m.OwnedTargets, m.Queue, m.Running, m.StoreAge, m.SkippedIO)
+	registry.MustRegister(m.BundleSequence, m.OwnedTargets, m.Queue, m.Running, m.StoreAge, m.SkippedIO, m.FreeTokens, m.WarmPercent)
 	registry.MustRegister(
 		&platformCalls{
 			store: store,
@@ -56,6 +60,13 @@
 	})
 }
 
+func targetGauge(name, help string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: name,
+		Help: help,
+	}, []string{"target"})
+}
+
 func counter(name, help string, value func() float64) prometheus.CounterFunc {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: name,
@@ -98,4 +109,11 @@
 	m.Running.Set(float64(c.traffic.running()))
 	m.Queue.Set(float64(c.traffic.queued()))
 	m.StoreAge.Set(c.storeAge(now).Seconds())
+	m.FreeTokens.Reset()
+	m.WarmPercent.Reset()
+	for id, owned := range c.owned {
+		summary := owned.Summary(now)
+		m.FreeTokens.WithLabelValues(string(id)).Set(float64(summary.FreeTokens))
+		m.WarmPercent.WithLabelValues(string(id)).Set(float64(summary.WarmPercent))
+	}
 }
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -227,6 +227,9 @@
 	case released:
 		t.release(m, now)
 	case refused:
+		m.record.At = now
+		m.record.Instance = c.options.Self.Instance
+		m.record.BundleSequence = c.bundle.Sequence
 		id, actions := c.recorder.Add(m.record, now)
 		m.reply <- id
 		c.recorderActions(actions)
@@ -517,18 +520,34 @@
 			Target:  target,
 		}, now), now)
 	}
-	if len(a.targets) > 1 || a.uncached == 0 || a.estimate.Wait > 0 {
-		// Only a prefill without others in front shows the target's rate.
+	t.learnPrefill(a, m.elapsed, now)
+}
+
+const (
+	// learnedPrompt is the fewest uncached tokens whose prefill says something about the target's rate.
+	learnedPrompt = 1000
+	// prefillOverhead is the part of the time to the first token that is no prefill: connecting and a step in progress.
+	prefillOverhead = 20 * time.Millisecond
+)
+
+// learnPrefill learns a target's rate from a prefill that had no others in front.
+func (t *traffic) learnPrefill(a *attempt, elapsed time.Duration, now time.Time) {
+	target := a.targets[0]
+	busy := a.estimate.Wait > 0 || t.summaries[target].QueueTokens > 0
+	if len(a.targets) > 1 || a.uncached < learnedPrompt || busy {
 		return
 	}
+	normal := t.control.targets[target].PrefillRate
+	expected := time.Duration(float64(a.uncached) / normal * float64(time.Second))
+	prefill := max(expected, elapsed-prefillOverhead-2*t.estimator.TokenInterval(target))
 	t.estimator.Observe(estimator.Observation{
-		Target:        a.targets[0],
+		Target:        target,
 		PrefillTokens: a.uncached,
-		Prefill:       m.elapsed,
+		Prefill:       prefill,
 	})
-	t.control.toAllocator(a.targets[0], allocator.PrefillObserved{
-		Boot: t.control.boots[a.targets[0]],
-		Rate: float64(a.uncached) / m.elapsed.Seconds(),
+	t.control.toAllocator(target, allocator.PrefillObserved{
+		Boot: t.control.boots[target],
+		Rate: float64(a.uncached) / prefill.Seconds(),
 	}, now)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/panjf2000/ants/v2"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -45,6 +46,9 @@
 
 // New returns a server that listens on the options' listener.
 func New(o Options) *Server {
+	// The library's own lines have another format; failures that matter are logged where they are handled.
+	hlog.SetSilentMode(true)
+	hlog.SetLevel(hlog.LevelFatal)
 	h := server.New(
 		server.WithListener(o.Listener),
 		server.WithMaxRequestBodySize(o.BodyBytes),
