Read event streams without the library's pooled interruption

The library's event loop may close a pooled response stream that another request uses already, when its context ends just after the last event.

--- a/internal/emulator/runner/runner.go
+++ b/internal/emulator/runner/runner.go
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// Finalize does nothing.
+//nolint:misspell,revive // the name is the library's
 func (discard) Finalize() error {
 	return nil
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 
@@ -9,12 +10,13 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 )
 
-// Follow hands the data of each event to receive until the response ends, which returns nil, the context ends or
-// receive fails. It closes the response's body.
+// Follow hands the data of each event to receive until that reports the last one, receive fails, the context ends or
+// the response ends early, which is io.ErrUnexpectedEOF. It closes the response's body; only after the last event is
+// the connection used again.
 //
 // The ForEach of hertz is not used: when its context ends just after the last event, it may close the connection of
 // another response, because response streams are pooled.
-func Follow(ctx context.Context, resp *protocol.Response, maxEventBytes int, receive func(data []byte) error) error {
+func Follow(ctx context.Context, resp *protocol.Response, maxEventBytes int, receive func(data []byte) (last bool, err error)) error {
 	closer := &closer{
 		stream: resp.BodyStream(),
 	}
@@ -24,6 +26,15 @@
 		closer.end()
 		_ = resp.CloseBodyStream() // nothing more is read from it
 	}()
+	err := follow(ctx, resp, maxEventBytes, receive)
+	if err != nil {
+		// Closing the body would otherwise wait for the rest of the response.
+		closer.interrupt()
+	}
+	return err
+}
+
+func follow(ctx context.Context, resp *protocol.Response, maxEventBytes int, receive func([]byte) (bool, error)) error {
 	reader, err := sse.NewReader(resp)
 	if err != nil {
 		return err
@@ -36,12 +47,12 @@
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case err == io.EOF:
-			return nil
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
 		}
-		if err := receive(event.Data); err != nil {
+		if last, err := receive(event.Data); last || err != nil {
 			return err
 		}
 	}
--- a/internal/loader/client.go
+++ b/internal/loader/client.go
@@ -24,11 +24,7 @@
 	maxConnections = 10_000
 )
 
-var (
-	errDone  = errors.New("stream done")
-	errEmpty = errors.New("the instance gave no address")
-	errEarly = errors.New("the stream ended early")
-)
+var errEmpty = errors.New("the instance gave no address")
 
 // refusal is a refusal as callers receive it.
 type refusal struct {
@@ -128,30 +124,22 @@
 	}
 	watchdog := time.AfterFunc(time.Hour, cancel)
 	defer watchdog.Stop()
-	err := follower.Follow(ctx, resp, maxEventBytes, func(data []byte) error {
+	return follower.Follow(ctx, resp, maxEventBytes, func(data []byte) (bool, error) {
 		watchdog.Reset(silence)
 		if string(data) == "[DONE]" {
-			return errDone
+			return true, nil
 		}
 		var parsed event
 		if err := json.Unmarshal(data, &parsed); err != nil {
-			return &wrongError{
+			return false, &wrongError{
 				message: "an event is not JSON: " + err.Error(),
 			}
 		}
 		if parsed.Error != nil {
-			return parsed.Error
+			return false, parsed.Error
 		}
-		return receive(parsed)
+		return false, receive(parsed)
 	})
-	switch {
-	case errors.Is(err, errDone):
-		return nil
-	case err == nil:
-		return errEarly
-	default:
-		return err
-	}
 }
 
 // call sends a service call and returns the response's body and whether it was replayed.
--- a/internal/streamer/client.go
+++ b/internal/streamer/client.go
@@ -16,6 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"bergamothollow.example/bergamothollow/internal/follower"
 )
 
 const (
@@ -106,35 +108,21 @@
 	}
 }
 
-var errDone = errors.New("stream done")
-
 func read(ctx context.Context, address string, resp *protocol.Response, receive func(Token) error) error {
-	reader, err := sse.NewReader(resp)
-	if err != nil {
-		return failed(address, err)
-	}
-	reader.SetMaxBufferSize(maxEventBytes)
-	defer func() { _ = reader.Close() }()
-	err = reader.ForEach(ctx, func(e *sse.Event) error {
-		if string(e.Data) == doneData {
-			return errDone
+	err := follower.Follow(ctx, resp, maxEventBytes, func(data []byte) (bool, error) {
+		if string(data) == doneData {
+			return true, nil
 		}
 		var token Token
-		if err := json.Unmarshal(e.Data, &token); err != nil {
-			return err
+		if err := json.Unmarshal(data, &token); err != nil {
+			return false, err
 		}
-		return receive(token)
+		return false, receive(token)
 	})
-	switch {
-	case errors.Is(err, errDone):
-		return nil
-	case ctx.Err() != nil:
-		return failed(address, ctx.Err())
-	case err == nil:
-		return failed(address, errors.New("the stream ended early"))
-	default:
+	if err != nil {
 		return failed(address, err)
 	}
+	return nil
 }
 
 // Cancel ends a request at an engine and frees its memory there.
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
@@ -53,6 +54,8 @@
 func newClient(keepAlive bool) (*client.Client, error) {
 	return client.NewClient(
 		client.WithDialTimeout(dialTimeout),
+		// The default dialer's connections sometimes lose a response after which the server closes at once.
+		client.WithDialer(standard.NewDialer()),
 		client.WithMaxConnsPerHost(64),
 		client.WithKeepAlive(keepAlive),
 	)
