--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -22,6 +22,8 @@
 	allocatedShare = 0.8
 	// unfencedShare leaves headroom for requests in flight in a process at the moment it paused.
 	unfencedShare = 0.96
+	// lostKept is how long a lost holder without requests is remembered.
+	lostKept = time.Minute
 	// idleShare is the part of the allocatable memory that is split evenly whatever the demand.
 	idleShare = 0.5
 )
@@ -64,7 +66,7 @@
 	recipients map[namer.Holder]*recipient
 	reserved   map[namer.Request]*reservation
 	waiting    []*waiter
-	lost       map[namer.Holder]bool
+	lost       map[namer.Holder]time.Time
 	boot       string
 	listedAt   time.Time
 	listed     map[namer.Request]Running
@@ -121,7 +123,7 @@
 		epochs:     map[namer.Epoch]bool{},
 		recipients: map[namer.Holder]*recipient{},
 		reserved:   map[namer.Request]*reservation{},
-		lost:       map[namer.Holder]bool{},
+		lost:       map[namer.Holder]time.Time{},
 		listed:     map[namer.Request]Running{},
 	}
 	if !options.Fencing {
@@ -146,7 +148,7 @@
 	case Released:
 		a.release(v)
 	case HolderLost:
-		return a.loseHolder(v.Holder)
+		return a.loseHolder(v.Holder, now)
 	case RequestsDisowned:
 		return a.cancelDisowned(v)
 	case Listed:
@@ -253,6 +255,16 @@
 			delete(a.recipients, h)
 		}
 	}
+	for h, at := range a.lost {
+		if a.recipients[h] == nil && now.Sub(at) > lostKept {
+			delete(a.lost, h)
+		}
+	}
+}
+
+func (a *Allocator) isLost(h namer.Holder) bool {
+	_, ok := a.lost[h]
+	return ok
 }
 
 // quotaGone is the time after which a quota granted now is expired on every clock.
--- a/pkg/allocator/quota.go
+++ b/pkg/allocator/quota.go
@@ -14,7 +14,7 @@
 	g := grant{
 		expires: now.Add(quotaGone()),
 	}
-	if limit > 0 && !a.lost[to] {
+	if limit > 0 && !a.isLost(to) {
 		g.memory = a.quotaTokens(r, limit)
 		g.prefill = a.quotaPrefill(r, g.memory, limit)
 	}
--- a/pkg/allocator/reconcile.go
+++ b/pkg/allocator/reconcile.go
@@ -85,8 +85,8 @@
 	}
 }
 
-func (a *Allocator) loseHolder(h namer.Holder) []Action {
-	a.lost[h] = true
+func (a *Allocator) loseHolder(h namer.Holder, now time.Time) []Action {
+	a.lost[h] = now
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
 		if w.ask.From != h {
@@ -103,7 +103,7 @@
 	}
 	var actions []Action
 	for _, id := range sortedRequests(a.listed) {
-		if a.lost[a.listed[id].Holder] {
+		if a.isLost(a.listed[id].Holder) {
 			actions = append(actions, a.cancel(id, HolderGone))
 		}
 	}
@@ -123,7 +123,7 @@
 	var actions []Action
 	for _, h := range a.sortedRecipients() {
 		r := a.recipients[h]
-		if r.listed <= r.used || a.lost[h] || a.share == 0 {
+		if r.listed <= r.used || a.isLost(h) || a.share == 0 {
 			r.excess = 0
 			continue
 		}
--- a/pkg/allocator/reserve.go
+++ b/pkg/allocator/reserve.go
@@ -14,7 +14,7 @@
 		held.expires = now.Add(quotaGone())
 		return []Action{a.grantReservation(v, 0)}
 	}
-	if a.limit() == 0 || a.lost[v.From] {
+	if a.limit() == 0 || a.isLost(v.From) {
 		return []Action{a.deny(v, refuser.NoTarget)}
 	}
 	if v.Tokens > a.mostFor(v, a.usable) {
--- a/pkg/elector/bench_test.go
+++ b/pkg/elector/bench_test.go
@@ -54,6 +54,7 @@
 	return el
 }
 
+// BenchmarkTick measures a tick with a quarter of a second's heartbeats and reads, while the store is up.
 func BenchmarkTick(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
 	el := benchElector(now)
@@ -63,6 +64,7 @@
 		if i%4 == 0 {
 			el.Handle(elector.HeartbeatSent{Number: int64(i)}, now)
 			hearAll(el, int64(i), now)
+			el.Handle(elector.InstancesListed{Requested: now}, now)
 		}
 		el.Handle(elector.Tick{}, now)
 	}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -23,6 +23,8 @@
 	assignAfter = 4 * time.Second
 	// settleTime is how long the set of live members must be unchanged before targets are moved.
 	settleTime = 30 * time.Second
+	// forgetAfter is far beyond every time after which news of a process matters.
+	forgetAfter = 10 * time.Minute
 	// sentKept bounds the numbers whose sending time is remembered.
 	sentKept = 64
 )
@@ -139,7 +141,6 @@
 	readAt   time.Time
 
 	heard   map[namer.Holder]news
-	direct  map[namer.Holder]time.Time
 	echoed  map[namer.Holder]echo
 	sent    []sentNumber
 	members map[namer.Holder]tracker.Member
@@ -183,7 +184,6 @@
 		peerAt:         now,
 		storeAt:        now,
 		heard:          map[namer.Holder]news{},
-		direct:         map[namer.Holder]time.Time{},
 		echoed:         map[namer.Holder]echo{},
 		members:        map[namer.Holder]tracker.Member{},
 		listed:         map[namer.Instance]bool{},
@@ -269,7 +269,6 @@
 
 func (e *Elector) hearHeartbeat(v HeartbeatHeard, now time.Time) []Action {
 	e.peerAt = now
-	e.direct[v.From] = now
 	e.hear(v.From, v.Number, now)
 	e.hearReports(v.From, v.Heard, v.TableVersion, now)
 	e.notePrevious(v, now)
@@ -403,6 +402,7 @@
 func (e *Elector) readMembers(v MembersRead, now time.Time) {
 	e.storeAt = later(e.storeAt, v.Requested)
 	e.membersAt = later(e.membersAt, v.Requested)
+	e.forget(now)
 	clear(e.members)
 	for _, m := range v.Members {
 		e.members[m.Holder] = m
@@ -416,6 +416,16 @@
 	}
 }
 
+// forget drops processes that were not heard for long, since every restart brings a new one.
+func (e *Elector) forget(now time.Time) {
+	for h, n := range e.heard {
+		if now.Sub(n.at) > forgetAfter {
+			delete(e.heard, h)
+			delete(e.echoed, h)
+		}
+	}
+}
+
 func (e *Elector) readInstances(v InstancesListed, _ time.Time) {
 	e.storeAt = later(e.storeAt, v.Requested)
 	if v.Requested.Before(e.listedAt) {
--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -36,6 +36,8 @@
 	freshList       bool
 	reconciliation  bool
 	requalification bool
+	// dropRule lets the platform drop instances that it alone does not see.
+	dropRule bool
 }
 
 type faultKind int
@@ -51,6 +53,8 @@
 	faultEngineRestart
 	faultCutPair
 	faultLeave
+	// faultCutAway cuts an instance off from all instances that have no such fault.
+	faultCutAway
 	faultKinds
 )
 
@@ -313,6 +317,9 @@
 			return false
 		}
 	}
+	if w.active(faultCutAway, a.index) != w.active(faultCutAway, b.index) {
+		return false
+	}
 	pair := min(a.index, b.index)
 	return !w.active(faultCutPair, pair) || max(a.index, b.index) != pair+1
 }
@@ -400,6 +407,9 @@
 		id := n.holder.Instance
 		visible := n.alive && !n.paused() && !w.active(faultCutBoth, n.index) &&
 			(!w.active(faultCutPeers, n.index) || w.storeReachable(n))
+		if w.off.dropRule {
+			visible = n.alive && !n.paused() && !w.active(faultCutStore, n.index)
+		}
 		if visible {
 			w.unseen[id] = w.now
 			if w.now-w.seen[id] >= listLag {
--- a/pkg/elector/property_test.go
+++ b/pkg/elector/property_test.go
@@ -264,6 +264,17 @@
 	}
 }
 
+// divided separates the owner of an unfenced target and another member from the store and from the rest.
+func divided(seed uint64) []fault {
+	at := time.Duration(40+seed%20) * modelStep
+	return []fault{
+		{Kind: faultCutStore, At: at, Length: 160 * modelStep, Who: 0},
+		{Kind: faultCutStore, At: at, Length: 160 * modelStep, Who: 1},
+		{Kind: faultCutAway, At: at, Length: 160 * modelStep, Who: 0},
+		{Kind: faultCutAway, At: at, Length: 160 * modelStep, Who: 1},
+	}
+}
+
 // TestPropertiesNeedEachMechanism shows for each mechanism a failure that it prevents: a property fails under
 // some schedule once the model leaves the mechanism out, and under none of the same schedules with it.
 func TestPropertiesNeedEachMechanism(t *testing.T) {
@@ -287,6 +298,8 @@
 		{name: "only a list asked for after an expiry frees what expired", off: without{freshList: true}, faults: mixed, wantErr: exceeded},
 		{name: "the owner reconciles with the engine's list", off: without{reconciliation: true}, faults: only(faultKill), wantErr: leaked},
 		{name: "a long isolated instance regains authority by a write only", off: without{requalification: true}, faults: overlapping(faultCutBoth, faultCutStore), wantErr: exceeded},
+		// An assumption about the platform, not a mechanism: members cut off together do not count as gone.
+		{name: "the platform drops only what is ended, paused or cut off alone", off: without{dropRule: true}, faults: divided, wantErr: exceeded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -147,6 +147,9 @@
 		if q.Epoch < t.quota.Epoch && v.Requested.Before(t.expires) {
 			continue
 		}
+		if v.From != t.from {
+			t.forgetOwners()
+		}
 		t.numbers[v.From] = v.Number
 		t.quota = q
 		t.from = v.From
@@ -154,6 +157,15 @@
 	}
 }
 
+// forgetOwners keeps the numbers of the last owner only, whose late messages may still arrive.
+func (t *target) forgetOwners() {
+	for h := range t.numbers {
+		if h != t.from {
+			delete(t.numbers, h)
+		}
+	}
+}
+
 // Room returns what is free under the quota of a target.
 func (r *Reserver) Room(id namer.Target, now time.Time) Room {
 	t, ok := r.targets[id]
