--- a/pkg/allocator/reserve.go
+++ b/pkg/allocator/reserve.go
@@ -10,9 +10,8 @@
 const startMargin = 0.9
 
 func (a *Allocator) reserve(v ReserveAsked, now time.Time) []Action {
-	if held, ok := a.reserved[v.Request]; ok && held.holder == v.From {
-		held.expires = now.Add(quotaGone())
-		return []Action{a.grantReservation(v, 0)}
+	if held, ok := a.reserved[v.Request]; ok {
+		return []Action{a.repeatAnswer(held, v, now)}
 	}
 	if a.limit() == 0 || a.isLost(v.From) {
 		return []Action{a.deny(v, refuser.NoTarget)}
@@ -34,6 +33,17 @@
 	return a.promote(now)
 }
 
+// repeatAnswer answers a repeated ask. It extends the start bound, which takes authority as a new grant does;
+// without it the reservation stays charged until the bound of the first answer.
+func (a *Allocator) repeatAnswer(held *reservation, v ReserveAsked, now time.Time) Action {
+	quotas, reservations := a.charges()
+	if held.holder != v.From || v.Tokens > held.tokens || quotas+reservations > a.limit() {
+		return a.deny(v, refuser.NoTarget)
+	}
+	held.expires = now.Add(quotaGone())
+	return a.grantReservation(v, 0)
+}
+
 // promote grants waiting reservations in the order of their arrival and denies those whose wait is over. A
 // later one does not pass an earlier one that waits for memory, so large ones are not starved.
 func (a *Allocator) promote(now time.Time) []Action {
--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -92,7 +92,9 @@
 	dropped   map[namer.Instance]bool
 	seen      map[namer.Instance]time.Duration
 	takeovers int
-	started   int
+	// greed is demand that recipients report beyond what they use, which draws the largest quotas.
+	greed   int
+	started int
 }
 
 type engine struct {
@@ -183,6 +185,7 @@
 		seen:    map[namer.Instance]time.Duration{},
 		table:   elector.Table{},
 	}
+	w.greed = w.random.IntN(2) * modelCapacity
 	for i := range 2 {
 		w.engines = append(w.engines, &engine{
 			index:    i,
@@ -574,7 +577,7 @@
 				n.allocate(i, allocator.DemandReported{
 					From:         holder,
 					UsedTokens:   d.UsedTokens,
-					WantedTokens: d.WantedTokens,
+					WantedTokens: d.WantedTokens + n.w.greed,
 				})
 			}
 		}
