--- a/pkg/elector/table.go
+++ b/pkg/elector/table.go
@@ -27,6 +27,14 @@
 	return t
 }
 
+// setOwner names the owner; a previous owner that owns the target again counts its own earlier use.
+func (e *Entry) setOwner(owner namer.Holder) {
+	e.Owner = owner
+	if e.Previous != nil && *e.Previous == owner {
+		e.Previous = nil
+	}
+}
+
 func (e *Entry) sameRoles(other *Entry) bool {
 	return e.Owner == other.Owner && e.Successor == other.Successor && e.Epoch == other.Epoch
 }
--- a/pkg/elector/write.go
+++ b/pkg/elector/write.go
@@ -128,11 +128,6 @@
 func (e *Elector) planEntry(next *Table, id namer.Target, entry *Entry, now time.Time) bool {
 	r := e.roles[id]
 	switch {
-	case entry.Owner == e.options.Self && !r.releasedAt.IsZero():
-		return e.planHandover(next, entry, r, now)
-	case entry.Owner == e.options.Self && e.leaving:
-		r.releasedAt = now
-		return false
 	case entry.Owner == e.options.Self:
 		return e.planOwned(next, entry, r, now)
 	case e.leaving:
@@ -151,7 +146,7 @@
 	if !entry.Successor.IsZero() && !e.gone(entry.Successor, now) {
 		return false
 	}
-	entry.Owner = e.chooseOwner(next, now)
+	entry.setOwner(e.chooseOwner(next, now))
 	entry.Successor = e.chooseSuccessor(next, entry.Owner, now)
 	entry.Epoch += reassignStep
 	if entry.Previous != nil && e.previousDone(*entry.Previous, r, now) {
@@ -166,6 +161,13 @@
 		entry.Previous = nil
 		changed = true
 	}
+	if !r.releasedAt.IsZero() {
+		return e.planHandover(next, entry, r, now) || changed
+	}
+	if e.leaving {
+		r.releasedAt = now
+		return changed
+	}
 	if e.mustReclaim(entry, r, now) {
 		entry.Epoch = max(entry.Epoch, r.rejected) + reassignStep
 		changed = true
@@ -189,6 +191,9 @@
 
 // previousDone reports whether nothing can be allocated any more by a previous owner.
 func (e *Elector) previousDone(previous namer.Holder, r *role, now time.Time) bool {
+	if previous == e.options.Self {
+		return now.Sub(r.learnedAt) >= e.options.quotaGone()
+	}
 	acknowledged := !r.previousLeft.IsZero() && now.Sub(r.previousLeft) >= e.options.quotaGone()
 	return acknowledged || e.gone(previous, now)
 }
@@ -219,7 +224,7 @@
 
 // planHandover names the new owner once every quota of this instance has expired.
 func (e *Elector) planHandover(next *Table, entry *Entry, r *role, now time.Time) bool {
-	if now.Sub(r.releasedAt) < e.options.quotaGone()+e.options.TickEvery+e.options.PausedAfter || entry.Previous != nil {
+	if now.Sub(r.releasedAt) < e.options.quotaGone()+e.options.TickEvery+e.options.PausedAfter {
 		return false
 	}
 	receiver := r.receiver
@@ -238,7 +243,7 @@
 	} else {
 		entry.Epoch += reassignStep
 	}
-	entry.Owner = receiver
+	entry.setOwner(receiver)
 	return true
 }
 
