--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -36,6 +36,8 @@
 	freshList       bool
 	reconciliation  bool
 	requalification bool
+	// dropRule lets the platform drop instances that it alone does not see.
+	dropRule bool
 }
 
 type faultKind int
@@ -51,6 +53,8 @@
 	faultEngineRestart
 	faultCutPair
 	faultLeave
+	// faultCutAway cuts an instance off from all instances that have no such fault.
+	faultCutAway
 	faultKinds
 )
 
@@ -88,7 +92,9 @@
 	dropped   map[namer.Instance]bool
 	seen      map[namer.Instance]time.Duration
 	takeovers int
-	started   int
+	// greed is demand that recipients report beyond what they use, which draws the largest quotas.
+	greed   int
+	started int
 }
 
 type engine struct {
@@ -179,6 +185,7 @@
 		seen:    map[namer.Instance]time.Duration{},
 		table:   elector.Table{},
 	}
+	w.greed = w.random.IntN(2) * modelCapacity
 	for i := range 2 {
 		w.engines = append(w.engines, &engine{
 			index:    i,
@@ -313,6 +320,9 @@
 			return false
 		}
 	}
+	if w.active(faultCutAway, a.index) != w.active(faultCutAway, b.index) {
+		return false
+	}
 	pair := min(a.index, b.index)
 	return !w.active(faultCutPair, pair) || max(a.index, b.index) != pair+1
 }
@@ -400,6 +410,9 @@
 		id := n.holder.Instance
 		visible := n.alive && !n.paused() && !w.active(faultCutBoth, n.index) &&
 			(!w.active(faultCutPeers, n.index) || w.storeReachable(n))
+		if w.off.dropRule {
+			visible = n.alive && !n.paused() && !w.active(faultCutStore, n.index)
+		}
 		if visible {
 			w.unseen[id] = w.now
 			if w.now-w.seen[id] >= listLag {
@@ -564,7 +577,7 @@
 				n.allocate(i, allocator.DemandReported{
 					From:         holder,
 					UsedTokens:   d.UsedTokens,
-					WantedTokens: d.WantedTokens,
+					WantedTokens: d.WantedTokens + n.w.greed,
 				})
 			}
 		}
