--- a/pkg/tracker/addresses.go
+++ b/pkg/tracker/addresses.go
@@ -37,7 +37,7 @@
 			cmp.Compare(a.turn, b.turn),
 		)
 	})
-	return choose(candidates)
+	return firstAddresses(candidates)
 }
 
 // LiveEntries returns how many instances are given to callers, this one included; at least 1.
@@ -108,7 +108,7 @@
 	return len(t.settings.Nearest)
 }
 
-func choose(candidates []candidate) []Address {
+func firstAddresses(candidates []candidate) []Address {
 	chosen := make([]Address, 0, maxAddresses)
 	var spare []Address
 	count := map[namer.DataCentre]int{}
--- a/pkg/tracker/departures.go
+++ b/pkg/tracker/departures.go
@@ -88,7 +88,7 @@
 		t.retryAt[t.fetch.peer] = now.Add(t.settings.FetchTimeout)
 		t.fetch = nil
 	}
-	if t.fetch != nil {
+	if t.fetch != nil || t.highestDeparture <= t.departureVersion {
 		return nil
 	}
 	best := t.latestDepartures(now)
--- a/pkg/tracker/members.go
+++ b/pkg/tracker/members.go
@@ -50,7 +50,7 @@
 	p.dataCentre = m.DataCentre
 	p.callerAddress = m.CallerAddress
 	p.peerAddress = m.PeerAddress
-	p.departures = max(p.departures, m.DepartureSeen)
+	t.hearDeparture(p, m.DepartureSeen)
 	p.state = furthest(p.state, m.State)
 	t.hear(p, m.Number, now)
 	if m.State == StateLeft {
@@ -78,7 +78,7 @@
 	p := t.admit(b.Sender, now)
 	p.dataCentre = b.DataCentre
 	p.callerAddress = b.CallerAddress
-	p.departures = max(p.departures, b.DepartureVersion)
+	t.hearDeparture(p, b.DepartureVersion)
 	p.state = furthest(p.state, b.State)
 	t.hear(p, b.Number, now)
 	if b.State == StateLeft {
@@ -119,6 +119,11 @@
 	t.know(p.holder, now).hear(number, now)
 }
 
+func (t *Tracker) hearDeparture(p *member, version int64) {
+	p.departures = max(p.departures, version)
+	t.highestDeparture = max(t.highestDeparture, version)
+}
+
 func (t *Tracker) losePeers(now time.Time) []Action {
 	var actions []Action
 	for _, name := range slices.Sorted(maps.Keys(t.members)) {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -156,6 +156,8 @@
 
 	targets          map[namer.Target]Target
 	departureVersion int64
+	// highestDeparture is the highest version that any member has named.
+	highestDeparture int64
 	departure        Departure
 	fetch            *fetch
 	retryAt          map[namer.Instance]time.Time
