--- a/pkg/reconciler/reconciler.go
+++ b/pkg/reconciler/reconciler.go
@@ -21,6 +21,8 @@
 	// BackoffBase and BackoffMax bound the wait of a target after a failed or lost order.
 	BackoffBase time.Duration
 	BackoffMax  time.Duration
+	// LateOrder is how long an order whose answer was lost may still take effect at the target.
+	LateOrder time.Duration
 }
 
 // DefaultSettings returns the settings of today's deployment.
@@ -29,6 +31,7 @@
 		AnswerTimeout: 30 * time.Second,
 		BackoffBase:   time.Second,
 		BackoffMax:    60 * time.Second,
+		LateOrder:     60 * time.Second,
 	}
 }
 
@@ -88,9 +91,11 @@
 	stale bool
 	// confirmed are the orders that the target accepted since its boot.
 	confirmed map[roller.Order]bool
-	open      *openOrder
-	failures  int
-	retryAt   time.Time
+	// doubts are orders that may still take effect, and until when; an empty name stands for any order of the kind.
+	doubts   map[roller.Order]time.Time
+	open     *openOrder
+	failures int
+	retryAt  time.Time
 }
 
 type openOrder struct {
@@ -122,14 +127,11 @@
 	t := r.owned[id]
 	switch {
 	case t == nil:
-		r.owned[id] = &target{
-			epoch:     epoch,
-			confirmed: map[roller.Order]bool{},
-		}
+		r.owned[id] = r.newTarget(epoch, now)
 	case epoch > t.epoch:
 		t.epoch = epoch
 		t.stale = false
-		t.open = nil
+		r.loseOpen(t, now)
 	default:
 		return nil
 	}
@@ -149,6 +151,7 @@
 	}
 	if t.boot != "" {
 		t.confirmed = map[roller.Order]bool{}
+		t.doubts = map[roller.Order]time.Time{}
 		t.open = nil
 	}
 	t.boot = boot
@@ -162,6 +165,9 @@
 		return nil
 	}
 	order := t.open.order
+	if result == ResultLost {
+		r.loseOpen(t, now)
+	}
 	t.open = nil
 	switch result {
 	case ResultDone:
@@ -239,9 +245,38 @@
 
 func (r *Reconciler) expire(t *target, now time.Time) {
 	if t.open != nil && !now.Before(t.open.deadline) {
-		t.open = nil
+		r.loseOpen(t, now)
 		r.backOff(t, now)
 	}
+	for lost, until := range t.doubts {
+		if now.Before(until) {
+			continue
+		}
+		delete(t.doubts, lost)
+		t.doubt(lost)
+	}
+}
+
+// newTarget expects late orders of the previous owner, since not every target rejects old epochs.
+func (r *Reconciler) newTarget(epoch namer.Epoch, now time.Time) *target {
+	until := now.Add(r.settings.LateOrder)
+	return &target{
+		epoch:     epoch,
+		confirmed: map[roller.Order]bool{},
+		doubts: map[roller.Order]time.Time{
+			{Kind: roller.OrderLoadVersion}: until,
+			{Kind: roller.OrderChangeRole}:  until,
+		},
+	}
+}
+
+// loseOpen ends the open order, which may still take effect.
+func (r *Reconciler) loseOpen(t *target, now time.Time) {
+	if t.open == nil {
+		return
+	}
+	t.doubts[t.open.order] = now.Add(r.settings.LateOrder)
+	t.open = nil
 }
 
 // maxDoublings keeps the backoff from overflowing.
@@ -253,6 +288,16 @@
 	t.retryAt = now.Add(wait)
 }
 
+// doubt orders again what a late order of the same kind may have replaced.
+func (t *target) doubt(lost roller.Order) {
+	if !lost.Kind.Exclusive() {
+		return
+	}
+	maps.DeleteFunc(t.confirmed, func(o roller.Order, _ bool) bool {
+		return o.Kind == lost.Kind && o != lost
+	})
+}
+
 // next returns the first order that is not confirmed; orders of one target are sent in the order of the bundle.
 func (t *target) next(wanted []roller.Order, now time.Time) (roller.Order, bool) {
 	if t.stale || t.open != nil || now.Before(t.retryAt) {
--- /dev/null
+++ b/pkg/reconciler/reconciler_test.go
@@ -0,0 +1,287 @@
+package reconciler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/limiter"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/roller"
+)
+
+type choose func(label string, n int) int
+
+// variant leaves one mechanism out, to show that the properties depend on it.
+type variant int
+
+const (
+	complete variant = iota
+	// trustLost: an order whose answer was lost counts as done.
+	trustLost
+	// ignoreBoot: the restart of a target is not noticed.
+	ignoreBoot
+	// noRate: the weight store's rate is not kept.
+	noRate
+	// overtake: an order is sent while an earlier one is open.
+	overtake
+	// trustOrder: orders that were lost are expected to have no late effect.
+	trustOrder
+)
+
+var start = time.Unix(1000, 0)
+
+// fullBucket never refuses.
+type fullBucket struct{}
+
+func (fullBucket) Take(float64, time.Time) bool { return true }
+
+// engine is a target that does what the last order of a kind says.
+type engine struct {
+	boot  int
+	state map[roller.OrderKind]string
+}
+
+// model is an owner over three engines whose answers are lost and whose processes restart.
+type model struct {
+	*Reconciler
+	draw    choose
+	variant variant
+	now     time.Time
+	engines map[namer.Target]*engine
+	wanted  map[namer.Target][]roller.Order
+	wire    []func()
+	loads   []time.Time
+	bundle  int
+}
+
+var targets = []namer.Target{"t0", "t1", "t2"}
+
+func newModel(draw choose, v variant) *model {
+	var bucket Bucket = limiter.NewBucket(LoadsPerSecond, 1, start)
+	if v == noRate {
+		bucket = fullBucket{}
+	}
+	settings := DefaultSettings()
+	if v == trustOrder {
+		settings.LateOrder = 0
+	}
+	m := &model{
+		Reconciler: New(settings, bucket),
+		draw:       draw,
+		variant:    v,
+		now:        start,
+		engines:    map[namer.Target]*engine{},
+	}
+	for _, id := range targets {
+		m.engines[id] = &engine{}
+		m.restart(id)
+		m.do(m.Own(id, 1, m.now))
+	}
+	return m
+}
+
+func (m *model) run(steps int) error {
+	for range steps {
+		id := targets[m.draw("target", len(targets))]
+		switch m.draw("step", 20) {
+		default:
+			m.deliver(m.draw("message", 4))
+		case 8, 9, 10, 11, 12, 13, 14:
+			m.pass(time.Duration(m.draw("seconds", 20)) * time.Second)
+		case 15, 16, 17:
+			m.want()
+		case 18:
+			m.restart(id)
+		case 19:
+			m.Disown(id)
+			m.do(m.Own(id, 1, m.now))
+		}
+	}
+	for range 300 {
+		for len(m.wire) > 0 {
+			m.deliver(0)
+		}
+		m.pass(5 * time.Second)
+	}
+	return m.check()
+}
+
+// want changes the version that each engine must load and its role.
+func (m *model) want() {
+	m.bundle++
+	m.wanted = map[namer.Target][]roller.Order{}
+	for _, id := range targets {
+		m.wanted[id] = []roller.Order{
+			{Kind: roller.OrderLoadVersion, Name: fmt.Sprint("v", m.bundle%3)},
+			{Kind: roller.OrderChangeRole, Name: fmt.Sprint("r", m.bundle%2)},
+		}
+	}
+	m.do(m.Want(m.wanted, m.now))
+}
+
+func (m *model) restart(id namer.Target) {
+	m.engines[id].boot++
+	m.engines[id].state = map[roller.OrderKind]string{}
+}
+
+func (m *model) pass(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, id := range targets {
+		if m.variant != ignoreBoot {
+			m.do(m.ObserveBoot(id, fmt.Sprint(m.engines[id].boot), m.now))
+		}
+	}
+	if m.variant == overtake {
+		for _, t := range m.owned {
+			t.open = nil
+		}
+	}
+	m.do(m.Tick(m.now))
+}
+
+func (m *model) deliver(n int) {
+	if len(m.wire) == 0 {
+		return
+	}
+	n %= len(m.wire)
+	happen := m.wire[n]
+	m.wire = slices.Delete(m.wire, n, n+1)
+	happen()
+}
+
+func (m *model) do(actions []Action) {
+	for _, a := range actions {
+		order, ok := a.(SendOrder)
+		if !ok {
+			continue
+		}
+		if order.Order.Kind.UsesWeightStore() {
+			m.loads = append(m.loads, m.now)
+		}
+		sent := m.now
+		boot := m.engines[order.Target].boot
+		m.wire = append(m.wire, func() {
+			fate := m.draw("answer", 5)
+			late := m.now.Sub(sent) >= DefaultSettings().LateOrder
+			if late || m.engines[order.Target].boot != boot {
+				fate = 3
+			}
+			m.obey(order, fate)
+		})
+	}
+}
+
+// obey is the engine: the order takes effect or not, and its answer arrives or not.
+func (m *model) obey(o SendOrder, fate int) {
+	result := ResultDone
+	switch fate {
+	case 2:
+		m.engines[o.Target].state[o.Order.Kind] = o.Order.Name
+		result = ResultLost
+	case 3:
+		result = ResultLost
+	case 4:
+		result = ResultFailed
+	default:
+		m.engines[o.Target].state[o.Order.Kind] = o.Order.Name
+	}
+	if m.variant == trustLost && result == ResultLost {
+		result = ResultDone
+	}
+	m.do(m.Finish(o.Target, o.Number, result, m.now))
+}
+
+// check requires that every engine is as wanted and that the weight store's rate was kept in every interval.
+func (m *model) check() error {
+	for _, id := range targets {
+		for _, o := range m.wanted[id] {
+			if got := m.engines[id].state[o.Kind]; got != o.Name {
+				return fmt.Errorf("%s has %s %q instead of %q", id, o.Kind, got, o.Name)
+			}
+		}
+	}
+	for i := 1; i < len(m.loads); i++ {
+		if gap := m.loads[i].Sub(m.loads[i-1]); gap < 9*time.Second {
+			return fmt.Errorf("two loads within %v", gap)
+		}
+	}
+	return nil
+}
+
+// TestMain raises the default number of schedules; -rapid.checks on the command line overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "1000"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against engines that stay in another state than wanted after lost answers, restarts and changed bundles, and
+// against loads beyond the weight store's rate.
+func TestTargetsReachWantedState(t *testing.T) {
+	schedules := 0
+	begin := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		schedules++
+		m := newModel(func(label string, n int) int {
+			return rapid.IntRange(0, n-1).Draw(r, label)
+		}, complete)
+		if err := m.run(60); err != nil {
+			r.Fatal(err)
+		}
+	})
+	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(begin).Seconds())
+}
+
+// Guards against properties that hold for any implementation: each mechanism that is left out must be caught.
+func TestVariantsAreCaught(t *testing.T) {
+	for name, v := range map[string]variant{
+		"lost answer counts as done": trustLost,
+		"restart not noticed":        ignoreBoot,
+		"rate not kept":              noRate,
+		"orders overtake each other": overtake,
+		"late orders not expected":   trustOrder,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3000) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				m := newModel(func(_ string, n int) int { return random.IntN(n) }, v)
+				if err := m.run(60); err != nil {
+					t.Logf("caught with seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("not caught")
+		})
+	}
+}
+
+// Guards against an owner that goes on ordering after the engine rejected its epoch, and against retries without pause.
+func TestStaleAndBackoff(t *testing.T) {
+	r := New(DefaultSettings(), fullBucket{})
+	wanted := map[namer.Target][]roller.Order{"t0": {{Kind: roller.OrderLoadModel, Name: "m"}}}
+	convey.Convey("a failed order waits, a stale one ends until the next epoch", t, func() {
+		convey.So(r.Own("t0", 3, start), convey.ShouldBeEmpty)
+		sent := r.Want(wanted, start)[0].(SendOrder)
+		convey.So(sent.Epoch, convey.ShouldEqual, namer.Epoch(3))
+		convey.So(r.Finish("t0", sent.Number, ResultFailed, start), convey.ShouldBeEmpty)
+		convey.So(r.Tick(start.Add(900*time.Millisecond)), convey.ShouldBeEmpty)
+		again := r.Tick(start.Add(time.Second))[0].(SendOrder)
+		convey.So(r.Finish("t0", again.Number, ResultFailed, start.Add(time.Second)), convey.ShouldBeEmpty)
+		convey.So(r.Tick(start.Add(2900*time.Millisecond)), convey.ShouldBeEmpty)
+		third := r.Tick(start.Add(3 * time.Second))[0].(SendOrder)
+		stale := r.Finish("t0", third.Number, ResultStale, start.Add(3*time.Second))
+		convey.So(stale, convey.ShouldResemble, []Action{ReportStale{Target: "t0", Epoch: 3}})
+		convey.So(r.Tick(start.Add(time.Hour)), convey.ShouldBeEmpty)
+		convey.So(r.Missing(), convey.ShouldEqual, 1)
+		convey.So(r.Own("t0", 4, start.Add(time.Hour)), convey.ShouldHaveLength, 1)
+	})
+}
--- a/pkg/roller/bundle.go
+++ b/pkg/roller/bundle.go
@@ -63,6 +63,11 @@
 	return k != OrderChangeRole
 }
 
+// Exclusive reports whether a later order of the kind replaces the effect of an earlier one.
+func (k OrderKind) Exclusive() bool {
+	return k == OrderLoadVersion || k == OrderChangeRole
+}
+
 // Order is one wanted state of a target.
 type Order struct {
 	Kind OrderKind `json:"kind" yaml:"kind"`
