--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -52,12 +52,12 @@
 		Convey(test.name, t, func() {
 			b := newBench(t)
 			p := startPlatform(t, b)
-			shouldExit(b.runHTTP("ana", "target add --file "+examples+"targets.yaml"), 0, "written")
+			shouldExit(b.runHTTP("target add --file "+examples+"targets.yaml"), 0, "written")
 			p.SetFaults(test.faults)
-			shouldExit(b.runHTTP("ana", "target out engine-1"), test.code, test.wantErr)
+			shouldExit(b.runHTTP("target out engine-1"), test.code, test.wantErr)
 			p.SetFaults(platform.Faults{})
-			shouldExit(b.runHTTP("ana", "target out engine-1"), 0, "target engine-1 out")
-			shouldExit(b.runHTTP("ana", "status"), 0, "targets [engine-1]")
+			shouldExit(b.runHTTP("target out engine-1"), 0, "target engine-1 out")
+			shouldExit(b.runHTTP("status"), 0, "targets [engine-1]")
 		})
 	}
 }
--- a/internal/cmd/registrar_test.go
+++ b/internal/cmd/registrar_test.go
@@ -94,9 +94,9 @@
 	})
 }
 
-// runHTTP is run over the platform's HTTP API with the system's clock.
-func (b *bench) runHTTP(operator, line string) outcome {
-	return b.execute(operator, line, func(*factory.Factory) {})
+// runHTTP is run as ana, over the platform's HTTP API with the system's clock.
+func (b *bench) runHTTP(line string) outcome {
+	return b.execute("ana", line, func(*factory.Factory) {})
 }
 
 func (b *bench) execute(operator, line string, replace func(*factory.Factory)) outcome {
@@ -204,14 +204,14 @@
 	})
 }
 
-// signed creates and approves a bundle of an author with a note.
-func (b *bench) signed(t *testing.T, author, approver, note string) string {
+// signed creates a bundle of an author with a note and has eva approve it.
+func (b *bench) signed(t *testing.T, author, note string) string {
 	t.Helper()
 	content, err := os.ReadFile(examples + "bundle.yaml")
 	So(err, ShouldBeNil)
 	b.write(t, author+"-draft.yaml", strings.Replace(string(content), "first season", note, 1))
 	shouldExit(b.run(author, "bundle create --file "+author+"-draft.yaml@ --out "+author+"-next.yaml@"), 0)
-	shouldExit(b.run(approver, "bundle approve --file "+author+"-next.yaml@ --key "+approver+".pem@ --out "+author+".json@"), 0)
+	shouldExit(b.run("eva", "bundle approve --file "+author+"-next.yaml@ --key eva.pem@ --out "+author+".json@"), 0)
 	return author + ".json@"
 }
 
@@ -234,8 +234,8 @@
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			b := newBench(t)
-			shouldExit(b.run("leo", "bundle roll --file "+b.signed(t, "leo", "eva", "base")), 0)
-			next := b.signed(t, "ana", "eva", "second season")
+			shouldExit(b.run("leo", "bundle roll --file "+b.signed(t, "leo", "base")), 0)
+			next := b.signed(t, "ana", "second season")
 			b.store.Order(test.faults)
 			shouldExit(b.run("ana", "bundle roll --file "+next+test.options), test.code, test.wantErr)
 			b.store.Order(keeper.Faults{})
@@ -251,16 +251,16 @@
 func TestRollRace(t *testing.T) {
 	Convey("the loser is told sequence, author and differing paths", t, func() {
 		b := newBench(t)
-		shouldExit(b.run("leo", "bundle roll --file "+b.signed(t, "leo", "eva", "base")), 0)
-		mine := b.signed(t, "ana", "eva", "mine")
-		theirs := b.signed(t, "leo", "eva", "theirs")
+		shouldExit(b.run("leo", "bundle roll --file "+b.signed(t, "leo", "base")), 0)
+		mine := b.signed(t, "ana", "mine")
+		theirs := b.signed(t, "leo", "theirs")
 		b.store.Order(keeper.Faults{
 			BeforeWrite: func() { b.run("leo", "bundle roll --file "+theirs) },
 		})
 		shouldExit(b.run("ana", "bundle roll --file "+mine), 3, "bundle 2 by leo", "note:", "bundle create")
 		shouldExit(b.run("ana", "bundle roll --file "+mine), 3, "changed by leo", "bundle 2 by leo", "note:")
 		So(b.sequence(), ShouldEqual, 2)
-		shouldExit(b.run("ana", "bundle roll --file "+b.signed(t, "ana", "eva", "mine again")), 0, "bundle 3 is in force")
+		shouldExit(b.run("ana", "bundle roll --file "+b.signed(t, "ana", "mine again")), 0, "bundle 3 is in force")
 	})
 }
 
@@ -268,7 +268,7 @@
 func TestRollNeverReverts(t *testing.T) {
 	Convey("a sequence below the one in force is a conflict", t, func() {
 		b := newBench(t)
-		older := b.signed(t, "ana", "eva", "older")
+		older := b.signed(t, "ana", "older")
 		b.store.Put(storer.KindBundlePointer, storer.CurrentName, roller.Pointer{
 			Sequence: 5,
 			RolledBy: "leo",
@@ -278,8 +278,8 @@
 	})
 	Convey("a sequence whose bundle was stored but not put in force is taken", t, func() {
 		b := newBench(t)
-		mine := b.signed(t, "ana", "eva", "mine")
-		theirs := b.signed(t, "leo", "eva", "theirs")
+		mine := b.signed(t, "ana", "mine")
+		theirs := b.signed(t, "leo", "theirs")
 		b.store.Order(keeper.Faults{
 			DownAfter: 1,
 		})
@@ -287,7 +287,7 @@
 		b.store.Order(keeper.Faults{})
 		shouldExit(b.run("ana", "bundle roll --file "+mine), 3, "bundle 1 by leo")
 		So(b.sequence(), ShouldEqual, 0)
-		shouldExit(b.run("ana", "bundle roll --file "+b.signed(t, "ana", "eva", "again")), 0, "bundle 2 is in force")
+		shouldExit(b.run("ana", "bundle roll --file "+b.signed(t, "ana", "again")), 0, "bundle 2 is in force")
 	})
 }
 
@@ -301,7 +301,7 @@
 	})
 	Convey("a bundle that was changed after its approval is not rolled", t, func() {
 		b := newBench(t)
-		b.signed(t, "ana", "eva", "base")
+		b.signed(t, "ana", "base")
 		signed, err := bundler.ReadSigned(b.path("ana.json"))
 		So(err, ShouldBeNil)
 		signed.Content = bytes.Replace(signed.Content, []byte("base"), []byte("more"), 1)
@@ -316,7 +316,7 @@
 		b.member("entry-1", tracker.StateServing, 0)
 		b.member("entry-2", tracker.StateServing, 1)
 		b.member("entry-3", tracker.StateLeft, 0)
-		rolled := b.run("ana", "bundle roll --wait 9s --json --file "+b.signed(t, "ana", "eva", "base"))
+		rolled := b.run("ana", "bundle roll --wait 9s --json --file "+b.signed(t, "ana", "base"))
 		shouldExit(rolled, 0)
 		var decoded struct {
 			Members []struct {
