Do not judge a target cold from prompts shorter than the noise of the network

Cause: prompts of 1,500 tokens take 2.5 ms on the emulated engines, so 5 ms of network and scheduling looked like a third of the normal rate. Ruled out: load reports (they said warm). Before: three of six warm engines stayed at the cold share of 10% after 21 s of load.

--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -540,6 +540,10 @@
 	normal := t.control.targets[target].PrefillRate
 	expected := time.Duration(float64(a.uncached) / normal * float64(time.Second))
 	prefill := max(expected, elapsed-prefillOverhead-2*t.estimator.TokenInterval(target))
+	if expected < 2*prefillOverhead && prefill > 2*expected {
+		// Too short to tell a slow target from a slow network: seen as warm targets being held at the cold share.
+		return
+	}
 	t.estimator.Observe(estimator.Observation{
 		Target:        target,
 		PrefillTokens: a.uncached,
