--- a/internal/emulator/engine/command.go
+++ b/internal/emulator/engine/command.go
@@ -34,6 +34,10 @@
 	if err := flags.Parse(arguments); err != nil {
 		return 2
 	}
+	if flags.NArg() > 0 {
+		_, _ = fmt.Fprintf(stderr, "emulator-engine: unexpected argument %q: every setting is a flag\n", flags.Arg(0))
+		return 2
+	}
 	if *speed <= 0 || *rate <= 0 || *capacity <= 0 {
 		_, _ = fmt.Fprintln(stderr, "emulator-engine: --speed, --prefill-rate and --capacity must be above 0")
 		return 2
--- a/internal/emulator/platform/command.go
+++ b/internal/emulator/platform/command.go
@@ -22,6 +22,10 @@
 	if err := flags.Parse(arguments); err != nil {
 		return 2
 	}
+	if flags.NArg() > 0 {
+		_, _ = fmt.Fprintf(stderr, "emulator-platform: unexpected argument %q: every setting is a flag\n", flags.Arg(0))
+		return 2
+	}
 	server, err := runner.Listen(*listen)
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "emulator-platform: %v\n", err)
--- a/internal/loader/command.go
+++ b/internal/loader/command.go
@@ -52,9 +52,12 @@
 	flags := flag.NewFlagSet("loader", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() {
-		_, _ = fmt.Fprintln(stderr, "Example: loader --instances 127.0.0.1:8000,127.0.0.1:8001 --rate 20 --duration 30s --json")
+		_, _ = fmt.Fprintln(stderr, "Example: loader run --instances 127.0.0.1:8000,127.0.0.1:8001 --rate 20 --duration 30s --json")
 		flags.PrintDefaults()
 	}
+	if len(arguments) > 0 && arguments[0] == "run" {
+		arguments = arguments[1:]
+	}
 	var o Options
 	instances := flags.String("instances", "127.0.0.1:8000", "addresses of instances to ask for addresses, separated by commas")
 	customers := flags.String("customers", "", "customers with weights, such as studio-a=8,studio-b=1 (default: ten, three of them large)")
@@ -79,6 +82,9 @@
 	if err := flags.Parse(arguments); err != nil {
 		return Options{}, false, err
 	}
+	if flags.NArg() > 0 {
+		return Options{}, false, fmt.Errorf("unexpected argument %q: every setting is a flag", flags.Arg(0))
+	}
 	o.Instances = strings.Split(*instances, ",")
 	var err error
 	o.Mix.Customers, err = parseCustomers(*customers)
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -107,7 +107,7 @@
 func run(t *testing.T, i *instance, arguments ...string) (Report, int) {
 	t.Helper()
 	var stdout strings.Builder
-	arguments = append([]string{"--instances", i.start(t), "--duration", "300ms", "--rate", "100", "--deadline", "5s", "--json"}, arguments...)
+	arguments = append([]string{"run", "--instances", i.start(t), "--duration", "300ms", "--rate", "100", "--deadline", "5s", "--json"}, arguments...)
 	code := Run(context.Background(), arguments, &stdout, t.Output())
 	var report Report
 	if err := json.Unmarshal([]byte(stdout.String()), &report); err != nil {
@@ -165,6 +165,19 @@
 	})
 }
 
+// Guards against settings that are silently ignored.
+func TestUsage(t *testing.T) {
+	for _, arguments := range [][]string{
+		{"run", "stray", "--rate", "1"},
+		{"run", "--customers", "a"},
+		{"run", "--callers", "0"},
+	} {
+		if code := Run(context.Background(), arguments, t.Output(), t.Output()); code != exitUsage {
+			t.Errorf("%v: exit code %d, want %d", arguments, code, exitUsage)
+		}
+	}
+}
+
 // Guards against a workload that differs between runs with one seed or misses the documented lengths.
 func TestGenerator(t *testing.T) {
 	mix := Mix{
