--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// allocatedBy is whom to ask for memory: the source of a valid quota, which may be a successor that acts before
+// the table says so, or else the owner in the table.
+func (t *target) allocatedBy(now time.Time) namer.Holder {
+	if now.Before(t.expires) {
+		return t.from
+	}
+	return t.owner
+}
+
 // forgetOwners keeps the numbers of the last owner only, whose late messages may still arrive.
 func (t *target) forgetOwners() {
 	for h := range t.numbers {
@@ -197,14 +206,15 @@
 	var demand []Demand
 	for id, t := range r.targets {
 		u := t.usedOf(owner)
-		if t.owner != owner && (u.memory == 0 && (t.from != owner || !now.Before(t.expires))) {
+		asked := t.allocatedBy(now) == owner
+		if !asked && u.memory == 0 {
 			continue
 		}
 		d := Demand{
 			Target:     id,
 			UsedTokens: u.memory,
 		}
-		if t.owner == owner {
+		if asked {
 			d.WantedTokens = t.missed
 			t.missed = 0
 		}
@@ -250,10 +260,11 @@
 			continue
 		}
 		t.missed += a.tokens
-		if a.wait <= 0 || t.owner.IsZero() {
+		owner := t.allocatedBy(now)
+		if a.wait <= 0 || owner.IsZero() {
 			return append(r.release(a.id), refused(a.id, id, refuser.NoTarget))
 		}
-		return r.ask(t, id, a, now)
+		return r.ask(owner, id, a, now)
 	}
 	return []Action{granted(a)}
 }
@@ -287,17 +298,17 @@
 	})
 }
 
-func (r *Reserver) ask(t *target, id namer.Target, a *attempt, now time.Time) []Action {
+func (r *Reserver) ask(owner namer.Holder, id namer.Target, a *attempt, now time.Time) []Action {
 	a.parts = append(a.parts, &part{
 		target:  id,
-		owner:   t.owner,
+		owner:   owner,
 		oneOff:  true,
 		asked:   now,
 		pending: true,
 	})
 	r.asking[a.id] = a
 	return []Action{AskOwner{
-		Owner:         t.owner,
+		Owner:         owner,
 		Request:       a.id,
 		Target:        id,
 		Tokens:        a.tokens,
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -167,6 +167,27 @@
 	})
 }
 
+// Guards against asking an owner that is lost while its successor allocates the target.
+func TestSuccessorIsAsked(t *testing.T) {
+	r := newRecipient("t")
+	successor := namer.Holder{Instance: "s", Incarnation: "a"}
+	r.Handle(QuotasReceived{From: successor, Number: 1, Requested: testStart, Quotas: []Quota{{
+		Target:       "t",
+		Epoch:        2,
+		Boot:         "b",
+		MemoryTokens: 5_000,
+		Valid:        6 * time.Second,
+	}}}, testStart)
+	give(r, "t", 2, 10_000, testStart)
+	wantRoom(t, r, "t", testStart, 5_000)
+	if got := want[AskOwner](t, reserve(r, "q", 9_000, 100, time.Second, testStart)); got.Owner != successor {
+		t.Errorf("asked %v, want the successor", got.Owner)
+	}
+	if got := r.Demand(successor, testStart); len(got) != 1 || got[0].WantedTokens != 9_000 {
+		t.Errorf("demand: got %v, want 9000 tokens wanted", got)
+	}
+}
+
 // Guards against deadlock between groups, and against parts of a failed group that stay reserved.
 func TestGroup(t *testing.T) {
 	group := ReserveGroup{Request: "q", Targets: []namer.Target{"c", "a", "b"}, Tokens: 9_000, PrefillTokens: 100, Wait: time.Second}
