--- /dev/null
+++ b/pkg/storer/client.go
@@ -0,0 +1,324 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/limiter"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// Priority orders calls when the call budget is short.
+type Priority int
+
+// The priorities of calls.
+const (
+	// PriorityControl is for membership, ownership, departures and bundles; it may use the whole budget.
+	PriorityControl Priority = iota
+	// PriorityNormal is for call records, refusal records and operators' queries; it leaves a reserve.
+	PriorityNormal
+)
+
+// ClientSettings configure a client.
+type ClientSettings struct {
+	CallsPerSecond float64
+	Burst          float64
+	// ControlReserve is the number of tokens that normal calls leave for control calls.
+	ControlReserve float64
+	// BudgetWait is how long a call waits for the budget before it fails with a BudgetError.
+	BudgetWait time.Duration
+	// ListPage is the number of objects read by one list call.
+	ListPage int
+	Retry    RetryPolicy
+}
+
+// DefaultClientSettings returns the settings for a budget of calls per second.
+func DefaultClientSettings(callsPerSecond float64) ClientSettings {
+	return ClientSettings{
+		CallsPerSecond: callsPerSecond,
+		Burst:          max(2*callsPerSecond, minBurst),
+		ControlReserve: callsPerSecond / 2,
+		BudgetWait:     500 * time.Millisecond,
+		ListPage:       500,
+		Retry:          DefaultRetryPolicy(),
+	}
+}
+
+// minBurst keeps a token above the reserve also at very low rates.
+const minBurst = 4
+
+// BudgetError means that the call was not made because the instance's call budget is spent.
+type BudgetError struct {
+	Verb string
+}
+
+// Error describes the budget.
+func (e *BudgetError) Error() string {
+	return fmt.Sprintf("call budget of the platform's store is spent: %s was not sent; try later or raise platform.calls_per_second", e.Verb)
+}
+
+// UnresolvedError means that a write may have taken effect and the object could not be read back.
+type UnresolvedError struct {
+	Kind  Kind
+	Name  string
+	Cause error
+}
+
+// Error describes the write.
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("write of %s %q may have taken effect: read it before writing again: %v", e.Kind, e.Name, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnresolvedError) Unwrap() error {
+	return e.Cause
+}
+
+// Counters count the calls that were made, by verb, and what was spared or repeated.
+type Counters struct {
+	Get            int64
+	Create         int64
+	Update         int64
+	Delete         int64
+	List           int64
+	Watch          int64
+	Instances      int64
+	Retries        int64
+	ReadBacks      int64
+	Throttled      int64
+	Unavailable    int64
+	Conflicts      int64
+	BudgetRefusals int64
+}
+
+// Client calls a Store with retries, read-back of lost answers and a call budget; it is safe for concurrent use.
+type Client struct {
+	store    Store
+	settings ClientSettings
+	clock    timer.Clock
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	bucket   *limiter.Bucket
+	counters Counters
+	answered time.Time
+}
+
+// NewClient returns a client over a store.
+func NewClient(store Store, settings ClientSettings, clock timer.Clock, random *rand.Rand) *Client {
+	return &Client{
+		store:    store,
+		settings: settings,
+		clock:    clock,
+		random:   random,
+		bucket:   limiter.NewBucket(settings.CallsPerSecond, settings.Burst, clock.Now()),
+	}
+}
+
+// Counters returns a copy of the counters.
+func (c *Client) Counters() Counters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counters
+}
+
+// Answered returns when the store last answered any call; zero means never.
+func (c *Client) Answered() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
+// Once returns a view of the client that makes each call a single time, within the budget, with no retry.
+func (c *Client) Once(priority Priority) Store {
+	return &once{
+		client:   c,
+		priority: priority,
+	}
+}
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, priority Priority, kind Kind, name string) (Object, error) {
+	return retryRead(ctx, c, func() (Object, error) {
+		return c.Once(priority).Get(ctx, kind, name)
+	})
+}
+
+// Create writes the value if no object has the name; mine resolves a lost answer.
+func (c *Client) Create(ctx context.Context, priority Priority, kind Kind, name string, value json.RawMessage, mine IsMine) (int64, error) {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		send: func() (int64, error) {
+			return store.Create(ctx, kind, name, value)
+		},
+		mine: mine,
+	}
+	return w.run(ctx)
+}
+
+// Update writes the value if the object still has the version; mine resolves a lost answer.
+func (c *Client) Update(ctx context.Context, priority Priority, kind Kind, name string, version int64, value json.RawMessage, mine IsMine) (int64, error) {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		expect: version,
+		send: func() (int64, error) {
+			return store.Update(ctx, kind, name, version, value)
+		},
+		mine: mine,
+	}
+	return w.run(ctx)
+}
+
+// Delete removes the object if it still has the version; an object that is absent counts as removed.
+func (c *Client) Delete(ctx context.Context, priority Priority, kind Kind, name string, version int64) error {
+	store := c.Once(priority)
+	w := write{
+		client: c,
+		store:  store,
+		kind:   kind,
+		name:   name,
+		expect: version,
+		remove: true,
+		send: func() (int64, error) {
+			return 0, store.Delete(ctx, kind, name, version)
+		},
+	}
+	_, err := w.run(ctx)
+	return err
+}
+
+// ListAll reads all objects of a kind whose names start with prefix; its version is that of the first page, so that a
+// watch from there misses no change made while later pages were read.
+func (c *Client) ListAll(ctx context.Context, priority Priority, kind Kind, prefix string) (Listing, error) {
+	var all Listing
+	after := ""
+	for first := true; ; first = false {
+		page, err := retryRead(ctx, c, func() (Listing, error) {
+			return c.Once(priority).List(ctx, kind, prefix, after, c.settings.ListPage)
+		})
+		if err != nil {
+			return Listing{}, err
+		}
+		if first {
+			all.Version = page.Version
+		}
+		all.Items = append(all.Items, page.Items...)
+		if len(page.Items) < c.settings.ListPage {
+			return all, nil
+		}
+		after = page.Items[len(page.Items)-1].Name
+	}
+}
+
+// Watch waits for changes of a kind after a version; it is not repeated, the Watcher does that.
+func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+	return c.Once(PriorityControl).Watch(ctx, kind, after, wait)
+}
+
+// Instances reads the platform's lagging list of instances.
+func (c *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
+	return retryRead(ctx, c, func() ([]ListedInstance, error) {
+		return c.Once(PriorityControl).Instances(ctx)
+	})
+}
+
+func retryRead[V any](ctx context.Context, c *Client, read func() (V, error)) (V, error) {
+	for attempt := 1; ; attempt++ {
+		v, err := read()
+		if err == nil {
+			return v, nil
+		}
+		retry, again := c.settings.Retry.Decide(attempt, false, err, c.roll()).(Retry)
+		if !again || c.sleep(ctx, retry.Delay) != nil {
+			return v, err
+		}
+		c.count(func(n *Counters) { n.Retries++ })
+	}
+}
+
+// acquire takes one call from the budget, waiting for a short time if need be.
+func (c *Client) acquire(ctx context.Context, priority Priority, verb string) error {
+	reserve := c.settings.ControlReserve
+	if priority == PriorityControl {
+		reserve = 0
+	}
+	latest := c.clock.Now().Add(c.settings.BudgetWait)
+	for {
+		wait, taken := c.take(reserve)
+		if taken {
+			return nil
+		}
+		if wait > latest.Sub(c.clock.Now()) {
+			c.count(func(n *Counters) { n.BudgetRefusals++ })
+			return &BudgetError{
+				Verb: verb,
+			}
+		}
+		if err := c.sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) take(reserve float64) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.bucket.Take(reserve, now) {
+		return 0, true
+	}
+	return c.bucket.Wait(reserve, now), false
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.clock.After(d):
+		return nil
+	}
+}
+
+func (c *Client) roll() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+func (c *Client) count(change func(*Counters)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.counters)
+}
+
+// note counts what a call came to; any answer, also a refusal, shows that the store is reachable.
+func (c *Client) note(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var unavailable *UnavailableError
+	var throttled *ThrottledError
+	var conflict *ConflictError
+	switch {
+	case errors.As(err, &unavailable):
+		c.counters.Unavailable++
+		return
+	case errors.As(err, &throttled):
+		c.counters.Throttled++
+	case errors.As(err, &conflict):
+		c.counters.Conflicts++
+	}
+	c.answered = c.clock.Now()
+}
