--- /dev/null
+++ b/internal/schedule/doc.go
@@ -0,0 +1,2 @@
+// Package schedule runs models under generated schedules; only tests import it.
+package schedule
--- a/pkg/deduplicator/model_test.go
+++ b/pkg/deduplicator/model_test.go
@@ -5,13 +5,11 @@
 	"slices"
 	"time"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 )
 
-// choose draws a number below n; rapid and plain seeds drive the same model.
-type choose func(label string, n int) int
-
 // variant leaves one mechanism out, to show that the properties depend on it.
 type variant int
 
@@ -31,7 +29,7 @@
 
 // world is a store, a service and three instances whose messages are delivered in any order.
 type world struct {
-	draw    choose
+	draw    schedule.Draw
 	variant variant
 	now     time.Time
 	version int64
@@ -41,13 +39,12 @@
 	repaired  bool
 	instances []*modelInstance
 	calls     []*modelCall
-	// wire holds what may happen next; an entry is removed when it happens.
-	wire    []func()
-	runs    map[string]int
-	ranBy   map[int64]bool
-	attempt int64
-	reached map[string]int
-	fault   error
+	wire      schedule.Wire
+	runs      map[string]int
+	ranBy     map[int64]bool
+	attempt   int64
+	reached   map[string]int
+	fault     error
 }
 
 type modelInstance struct {
@@ -63,7 +60,7 @@
 	answers []Answer
 }
 
-func newWorld(draw choose, v variant) *world {
+func newWorld(draw schedule.Draw, v variant) *world {
 	w := &world{
 		draw:    draw,
 		variant: v,
@@ -96,7 +93,7 @@
 		i.paused = false
 	}
 	for round := 0; round < 400; round++ {
-		w.deliver(0)
+		w.wire.Deliver(0)
 		if round%10 == 9 {
 			w.advance(2 * time.Second)
 		}
@@ -109,7 +106,7 @@
 	i := w.instances[w.draw("instance", len(w.instances))]
 	switch w.draw("step", 20) {
 	default:
-		w.deliver(w.draw("message", 16))
+		w.wire.Deliver(w.draw("message", 16))
 	case 13, 14, 15:
 		w.arrive(i)
 	case 16:
@@ -161,23 +158,13 @@
 	}
 }
 
-func (w *world) deliver(n int) {
-	if len(w.wire) == 0 {
-		return
-	}
-	n %= len(w.wire)
-	happen := w.wire[n]
-	w.wire = slices.Delete(w.wire, n, n+1)
-	happen()
-}
-
 func (w *world) alive(c *modelCall) bool {
 	return c.owner.holder == c.holder
 }
 
 // receive hands an event to a call once its process runs; a killed process receives nothing.
 func (w *world) receive(c *modelCall, e Event) {
-	w.wire = append(w.wire, func() {
+	w.wire.Post(func() {
 		switch {
 		case !w.alive(c):
 		case c.owner.paused:
@@ -234,7 +221,7 @@
 	case Read:
 		w.read(a.Name, reply)
 	case Send:
-		w.wire = append(w.wire, func() { w.send(c, a) })
+		w.wire.Post(func() { w.send(c, a) })
 	case Answer:
 		w.answer(c, a)
 	case Settle:
@@ -247,7 +234,7 @@
 	for _, a := range actions {
 		reply := func(name string, attempt int64) func(Event) {
 			return func(e Event) {
-				w.wire = append(w.wire, func() {
+				w.wire.Post(func() {
 					if i.holder == holder {
 						w.settle(i, i.settler.Step(name, attempt, e, w.now))
 					}
@@ -275,13 +262,13 @@
 
 // write reaches the store, is refused, or is reported lost while it may still take effect at any later time.
 func (w *world) write(name string, version int64, r Record, reply func(Event)) {
-	w.wire = append(w.wire, func() {
+	w.wire.Post(func() {
 		switch fate := w.fate("write", 10); {
 		case fate == 9:
 			reply(WriteRefused{})
 		case fate == 8:
 			reply(WriteLost{})
-			w.wire = append(w.wire, func() { w.apply(name, version, r) })
+			w.wire.Post(func() { w.apply(name, version, r) })
 		case fate == 7 || w.down:
 			reply(WriteLost{})
 		case fate == 6:
@@ -310,7 +297,7 @@
 }
 
 func (w *world) read(name string, reply func(Event)) {
-	w.wire = append(w.wire, func() {
+	w.wire.Post(func() {
 		if w.down || w.fate("read", 6) == 5 {
 			reply(ReadFailed{})
 			return
@@ -324,11 +311,11 @@
 	switch {
 	case !w.alive(c):
 	case c.owner.paused:
-		w.wire = append(w.wire, func() { w.send(c, a) })
+		w.wire.Post(func() { w.send(c, a) })
 	case !w.now.Before(a.Before) || w.fate("connect", 5) == 4:
 		w.receive(c, NotSent{})
 	default:
-		w.wire = append(w.wire, func() { w.serve(c) })
+		w.wire.Post(func() { w.serve(c) })
 	}
 }
 
@@ -344,7 +331,7 @@
 		w.receive(c, SendFailed{})
 	case 5:
 		w.receive(c, SendFailed{})
-		w.wire = append(w.wire, func() { w.execute(c) })
+		w.wire.Post(func() { w.execute(c) })
 	default:
 		w.execute(c)
 		w.receive(c, Answered{
--- a/pkg/deduplicator/shard_test.go
+++ b/pkg/deduplicator/shard_model_test.go
@@ -1,35 +1,31 @@
 package deduplicator
 
 import (
-	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
 // shardWorld has two processes that both believe to own one shard.
 type shardWorld struct {
-	draw    choose
+	draw    schedule.Draw
 	blind   bool
 	now     time.Time
 	version int64
 	object  ShardObject
 	shards  []*Shard
-	wire    []func()
+	wire    schedule.Wire
 	id      int64
 	changes map[int64]Change
 	outcome map[int64]Action
 	quiet   bool
 }
 
-func newShardWorld(draw choose, blind bool) *shardWorld {
+func newShardWorld(draw schedule.Draw, blind bool) *shardWorld {
 	w := &shardWorld{
 		draw:    draw,
 		blind:   blind,
@@ -57,7 +53,7 @@
 		i := w.draw("shard", len(w.shards))
 		switch w.draw("step", 8) {
 		default:
-			w.deliver(w.draw("message", 8))
+			w.wire.Deliver(w.draw("message", 8))
 		case 4, 5:
 			w.submit(i)
 		case 6:
@@ -68,7 +64,7 @@
 	}
 	w.quiet = true
 	for range 100 {
-		w.deliver(0)
+		w.wire.Deliver(0)
 		w.tick(20 * time.Millisecond)
 	}
 	return w.check()
@@ -97,23 +93,13 @@
 	}
 }
 
-func (w *shardWorld) deliver(n int) {
-	if len(w.wire) == 0 {
-		return
-	}
-	n %= len(w.wire)
-	happen := w.wire[n]
-	w.wire = slices.Delete(w.wire, n, n+1)
-	happen()
-}
-
 func (w *shardWorld) do(i int, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case WriteShard:
-			w.wire = append(w.wire, func() { w.write(i, a) })
+			w.wire.Post(func() { w.write(i, a) })
 		case ReadShard:
-			w.wire = append(w.wire, func() { w.do(i, w.shards[i].ShardRead(a.Call, w.version, w.object, w.now)) })
+			w.wire.Post(func() { w.do(i, w.shards[i].ShardRead(a.Call, w.version, w.object, w.now)) })
 		case Applied:
 			w.outcome[a.ID] = a
 		case Rejected:
@@ -133,7 +119,7 @@
 	case fate == 5:
 		w.do(i, w.shards[i].ShardFailed(a.Call, true, w.now))
 	case fate == 4:
-		w.wire = append(w.wire, func() { w.apply(a) })
+		w.wire.Post(func() { w.apply(a) })
 		w.do(i, w.shards[i].ShardFailed(a.Call, true, w.now))
 	case fate == 3:
 		w.do(i, w.shards[i].ShardFailed(a.Call, false, w.now))
@@ -178,32 +164,3 @@
 	}
 	return nil
 }
-
-// Guards against a call that is sent on a claim which another owner of the shard has overwritten.
-func TestShardKeepsConfirmedChanges(t *testing.T) {
-	rapid.Check(t, func(r *rapid.T) {
-		w := newShardWorld(func(label string, n int) int {
-			return rapid.IntRange(0, n-1).Draw(r, label)
-		}, false)
-		if err := w.run(60); err != nil {
-			r.Fatal(err)
-		}
-	})
-}
-
-// Guards against a shard test that holds without conditional writes.
-func TestShardWithoutConditionsIsCaught(t *testing.T) {
-	err := errors.New("not caught")
-	for seed := range uint64(searchLimit) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		w := newShardWorld(func(_ string, n int) int { return random.IntN(n) }, true)
-		if found := w.run(60); found != nil {
-			t.Logf("caught with seed %d: %v", seed, found)
-			err = nil
-			break
-		}
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
--- a/pkg/reconciler/reconciler_test.go
+++ b/pkg/reconciler/reconciler_test.go
@@ -1,24 +1,18 @@
 package reconciler
 
 import (
-	"flag"
 	"fmt"
-	"math/rand/v2"
-	"os"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
-	"pgregory.net/rapid"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/limiter"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/roller"
 )
 
-type choose func(label string, n int) int
-
 // variant leaves one mechanism out, to show that the properties depend on it.
 type variant int
 
@@ -52,19 +46,19 @@
 // model is an owner over three engines whose answers are lost and whose processes restart.
 type model struct {
 	*Reconciler
-	draw    choose
+	draw    schedule.Draw
 	variant variant
 	now     time.Time
 	engines map[namer.Target]*engine
 	wanted  map[namer.Target][]roller.Order
-	wire    []func()
+	wire    schedule.Wire
 	loads   []time.Time
 	bundle  int
 }
 
 var targets = []namer.Target{"t0", "t1", "t2"}
 
-func newModel(draw choose, v variant) *model {
+func newModel(draw schedule.Draw, v variant) *model {
 	var bucket Bucket = limiter.NewBucket(LoadsPerSecond, 1, start)
 	if v == noRate {
 		bucket = fullBucket{}
@@ -93,7 +87,7 @@
 		id := targets[m.draw("target", len(targets))]
 		switch m.draw("step", 20) {
 		default:
-			m.deliver(m.draw("message", 4))
+			m.wire.Deliver(m.draw("message", 4))
 		case 8, 9, 10, 11, 12, 13, 14:
 			m.pass(time.Duration(m.draw("seconds", 20)) * time.Second)
 		case 15, 16, 17:
@@ -106,8 +100,7 @@
 		}
 	}
 	for range 300 {
-		for len(m.wire) > 0 {
-			m.deliver(0)
+		for m.wire.Deliver(0) {
 		}
 		m.pass(5 * time.Second)
 	}
@@ -147,16 +140,6 @@
 	m.do(m.Tick(m.now))
 }
 
-func (m *model) deliver(n int) {
-	if len(m.wire) == 0 {
-		return
-	}
-	n %= len(m.wire)
-	happen := m.wire[n]
-	m.wire = slices.Delete(m.wire, n, n+1)
-	happen()
-}
-
 func (m *model) do(actions []Action) {
 	for _, a := range actions {
 		order, ok := a.(SendOrder)
@@ -168,7 +151,7 @@
 		}
 		sent := m.now
 		boot := m.engines[order.Target].boot
-		m.wire = append(m.wire, func() {
+		m.wire.Post(func() {
 			fate := m.draw("answer", 5)
 			late := m.now.Sub(sent) >= DefaultSettings().LateOrder
 			if late || m.engines[order.Target].boot != boot {
@@ -216,52 +199,24 @@
 	return nil
 }
 
-// TestMain raises the default number of schedules; -rapid.checks on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.checks", "1000"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 // Guards against engines that stay in another state than wanted after lost answers, restarts and changed bundles, and
 // against loads beyond the weight store's rate.
 func TestTargetsReachWantedState(t *testing.T) {
-	schedules := 0
-	begin := time.Now()
-	rapid.Check(t, func(r *rapid.T) {
-		schedules++
-		m := newModel(func(label string, n int) int {
-			return rapid.IntRange(0, n-1).Draw(r, label)
-		}, complete)
-		if err := m.run(60); err != nil {
-			r.Fatal(err)
-		}
-	})
-	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(begin).Seconds())
+	schedule.Check(t, 1000, func(draw schedule.Draw) error { return newModel(draw, complete).run(60) })
 }
 
 // Guards against properties that hold for any implementation: each mechanism that is left out must be caught.
 func TestVariantsAreCaught(t *testing.T) {
-	for name, v := range map[string]variant{
-		"lost answer counts as done": trustLost,
-		"restart not noticed":        ignoreBoot,
-		"rate not kept":              noRate,
-		"orders overtake each other": overtake,
-		"late orders not expected":   trustOrder,
-	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(3000) {
-				random := rand.New(rand.NewPCG(seed, 1))
-				m := newModel(func(_ string, n int) int { return random.IntN(n) }, v)
-				if err := m.run(60); err != nil {
-					t.Logf("caught with seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Fatal("not caught")
-		})
-	}
+	without := func(v variant) func(schedule.Draw) error {
+		return func(draw schedule.Draw) error { return newModel(draw, v).run(60) }
+	}
+	schedule.Caught(t, 3000, map[string]func(schedule.Draw) error{
+		"lost answer counts as done": without(trustLost),
+		"restart not noticed":        without(ignoreBoot),
+		"rate not kept":              without(noRate),
+		"orders overtake each other": without(overtake),
+		"late orders not expected":   without(trustOrder),
+	})
 }
 
 // Guards against an owner that goes on ordering after the engine rejected its epoch, and against retries without pause.
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -2,28 +2,22 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
-	"pgregory.net/rapid"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 )
 
-type choose func(label string, n int) int
-
 const (
 	// writeTime is the longest time of one write in the model.
-	writeTime   = 200 * time.Millisecond
-	valueLimit  = 1 << 20
-	searchLimit = 2000
+	writeTime  = 200 * time.Millisecond
+	valueLimit = 1 << 20
 )
 
 var (
@@ -34,14 +28,6 @@
 	}
 )
 
-// TestMain raises the default number of schedules; -rapid.checks on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.checks", "300"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 func refusalOf(n int, at time.Time) refuser.Record {
 	return refuser.Record{
 		At:       at,
@@ -63,7 +49,7 @@
 // model is a recorder over a store that is down or loses answers at times.
 type model struct {
 	*Recorder
-	draw choose
+	draw schedule.Draw
 	now  time.Time
 	down bool
 	// repaired ends all faults.
@@ -73,7 +59,7 @@
 	open     []WriteBatch
 }
 
-func newModel(draw choose, neverFlush bool) *model {
+func newModel(draw schedule.Draw, neverFlush bool) *model {
 	settings := DefaultSettings(holder)
 	settings.FlushBytes = 4000
 	settings.MemoryBytes = 20000
@@ -206,37 +192,14 @@
 // Guards against refusal records that are lost or counted twice after outages and lost answers, that fill memory while
 // the store is down, or of which a kill loses more than one flush interval.
 func TestRecordsSurvive(t *testing.T) {
-	schedules := 0
-	begin := time.Now()
-	rapid.Check(t, func(r *rapid.T) {
-		schedules++
-		m := newModel(func(label string, n int) int {
-			return rapid.IntRange(0, n-1).Draw(r, label)
-		}, false)
-		if err := m.run(80); err != nil {
-			r.Fatal(err)
-		}
-	})
-	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(begin).Seconds())
+	schedule.Check(t, 300, func(draw schedule.Draw) error { return newModel(draw, false).run(80) })
 }
 
 // Guards against a property that holds for a recorder that does not flush by time.
-func TestNoFlushIsCaught(t *testing.T) {
-	for seed := range uint64(searchLimit) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		m := newModel(func(label string, n int) int {
-			if label == "burst" {
-				// Few refusals, so that batches are not closed by size.
-				return 0
-			}
-			return random.IntN(n)
-		}, true)
-		if err := m.run(80); err != nil {
-			t.Logf("caught with seed %d: %v", seed, err)
-			return
-		}
-	}
-	t.Fatal("not caught")
+func TestVariantsAreCaught(t *testing.T) {
+	schedule.Caught(t, 2000, map[string]func(schedule.Draw) error{
+		"no flush by time": func(draw schedule.Draw) error { return newModel(draw, true).run(80) },
+	})
 }
 
 // Guards against an outage after which dropped records leave no trace.
--- a/pkg/roller/model_test.go
+++ b/pkg/roller/model_test.go
@@ -6,11 +6,10 @@
 	"slices"
 	"time"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
-type choose func(label string, n int) int
-
 // variant leaves one mechanism out, to show that the properties depend on it.
 type variant int
 
@@ -60,12 +59,12 @@
 
 // cell is a store and five instances whose messages are delayed, lost and repeated.
 type cell struct {
-	draw    choose
+	draw    schedule.Draw
 	variant variant
 	now     time.Time
 	rolled  int
 	members []*cellMember
-	wire    []timedMessage
+	wire    schedule.Wire
 	healed  bool
 	fault   error
 }
@@ -83,12 +82,7 @@
 	storeAge time.Time
 }
 
-type timedMessage struct {
-	at      time.Time
-	deliver func()
-}
-
-func newCell(draw choose, v variant) *cell {
+func newCell(draw schedule.Draw, v variant) *cell {
 	c := &cell{
 		draw:    draw,
 		variant: v,
@@ -178,15 +172,7 @@
 func (c *cell) pass(steps int) {
 	for range steps {
 		c.now = c.now.Add(modelStep)
-		due := c.wire
-		c.wire = nil
-		for _, message := range due {
-			if message.at.After(c.now) {
-				c.wire = append(c.wire, message)
-				continue
-			}
-			message.deliver()
-		}
+		c.wire.DeliverDue(c.now)
 		step := int(c.now.UnixMilli()/modelStep.Milliseconds()) % 10
 		for i, m := range c.members {
 			if step == i && !m.dead && !m.paused {
@@ -227,18 +213,15 @@
 
 // send delivers a message after a random delay unless a fault stops it; messages overtake each other.
 func (c *cell) send(from, to *cellMember, deliver func()) {
-	delay := 1
+	delay := 0
 	if !c.healed {
-		delay += c.draw("delay", 4)
+		delay = c.draw("delay", 4)
 	}
 	life := to.life
-	c.wire = append(c.wire, timedMessage{
-		at: c.now.Add(time.Duration(delay-1) * modelStep),
-		deliver: func() {
-			if to.life == life && !to.dead && !to.paused && from.group == to.group {
-				deliver()
-			}
-		},
+	c.wire.PostAt(c.now.Add(time.Duration(delay)*modelStep), func() {
+		if to.life == life && !to.dead && !to.paused && from.group == to.group {
+			deliver()
+		}
 	})
 }
 
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -4,27 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
-	"pgregory.net/rapid"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
-// TestMain raises the default number of schedules; -rapid.checks on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.checks", "3000"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 func newTestClient(store Store, clock *skipClock) *Client {
 	settings := DefaultClientSettings(100)
 	// Short pages make lists overlap with changes.
@@ -42,7 +32,7 @@
 }
 
 // writeAlone lets one client write an object again and again over a faulty store; nobody else writes.
-func writeAlone(draw choose, readBack bool) error {
+func writeAlone(draw schedule.Draw, readBack bool) error {
 	clock := &skipClock{now: time.Unix(1000, 0)}
 	store := newFaultyStore(clock)
 	client := newTestClient(store, clock)
@@ -81,53 +71,20 @@
 // Guards against a write that took effect unnoticed, is repeated, or is confirmed without being stored, when answers
 // are lost.
 func TestWriteOutcomeIsResolved(t *testing.T) {
-	schedules := 0
-	start := time.Now()
-	rapid.Check(t, func(r *rapid.T) {
-		schedules++
-		if err := writeAlone(drawFrom(r), true); err != nil {
-			r.Fatal(err)
-		}
-	})
-	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(start).Seconds())
+	schedule.Check(t, 3000, func(draw schedule.Draw) error { return writeAlone(draw, true) })
 }
 
 // Guards against a cache that keeps what the store no longer has, after gaps, outages and changes between pages.
 func TestWatcherFollowsStore(t *testing.T) {
-	schedules := 0
-	start := time.Now()
-	rapid.Check(t, func(r *rapid.T) {
-		schedules++
-		if err := watched(drawFrom(r), false); err != nil {
-			r.Fatal(err)
-		}
-	})
-	t.Logf("%d schedules, %.0f per second", schedules, float64(schedules)/time.Since(start).Seconds())
+	schedule.Check(t, 3000, func(draw schedule.Draw) error { return watched(draw, false) })
 }
 
 // Guards against properties that hold for any implementation: each mechanism that is left out must be caught.
 func TestVariantsAreCaught(t *testing.T) {
-	for name, run := range map[string]func(choose) error{
-		"no check for own writes": func(draw choose) error { return writeAlone(draw, false) },
-		"gaps are not reported":   func(draw choose) error { return watched(draw, true) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(2000) {
-				random := rand.New(rand.NewPCG(seed, 1))
-				if err := run(func(_ string, n int) int { return random.IntN(n) }); err != nil {
-					t.Logf("caught with seed %d: %v", seed, err)
-					return
-				}
-			}
-			t.Fatal("not caught")
-		})
-	}
-}
-
-func drawFrom(r *rapid.T) choose {
-	return func(label string, n int) int {
-		return rapid.IntRange(0, n-1).Draw(r, label)
-	}
+	schedule.Caught(t, 2000, map[string]func(schedule.Draw) error{
+		"no check for own writes": func(draw schedule.Draw) error { return writeAlone(draw, false) },
+		"gaps are not reported":   func(draw schedule.Draw) error { return watched(draw, true) },
+	})
 }
 
 // Guards against a retry that repeats a write blindly, or gives up while the store can still answer.
--- a/pkg/storer/model_test.go
+++ b/pkg/storer/model_test.go
@@ -9,9 +9,9 @@
 	"slices"
 	"strings"
 	"time"
-)
 
-type choose func(label string, n int) int
+	"bergamothollow.example/bergamothollow/internal/schedule"
+)
 
 // skipClock passes any wait at once, so that one goroutine can run a client.
 type skipClock struct {
@@ -186,7 +186,7 @@
 }
 
 // watched follows a store that others change, and checks the cache at the end.
-func watched(draw choose, silentCut bool) error {
+func watched(draw schedule.Draw, silentCut bool) error {
 	clock := &skipClock{now: time.Unix(1000, 0)}
 	store := newFaultyStore(clock)
 	store.silentCut = silentCut
@@ -232,7 +232,7 @@
 	return errors.Join(compare("cache", w.Read().Objects, want), compare("delivered events", replayed, want))
 }
 
-func disturb(s *faultyStore, draw choose) {
+func disturb(s *faultyStore, draw schedule.Draw) {
 	name := []string{"a1", "a2", "a3", "b1"}[draw("name", 4)]
 	switch draw("change", 6) {
 	case 1, 2:
--- a/pkg/tracker/model_test.go
+++ b/pkg/tracker/model_test.go
@@ -6,11 +6,10 @@
 	"slices"
 	"time"
 
+	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
-type choose func(label string, n int) int
-
 // variant leaves one mechanism out, to show that the properties depend on it.
 type variant int
 
@@ -41,7 +40,7 @@
 
 // cell is a store, a platform list and five instances whose messages are delayed and lost.
 type cell struct {
-	draw     choose
+	draw     schedule.Draw
 	variant  variant
 	now      time.Time
 	version  int64
@@ -50,7 +49,7 @@
 	history  []versioned
 	list     []Listed
 	nodes    []*node
-	wire     []timedMessage
+	wire     schedule.Wire
 	former   map[namer.Holder]bool
 	healed   bool
 	fault    error
@@ -73,12 +72,7 @@
 	group   int
 }
 
-type timedMessage struct {
-	at      time.Time
-	deliver func()
-}
-
-func newCell(draw choose, v variant) *cell {
+func newCell(draw schedule.Draw, v variant) *cell {
 	c := &cell{
 		draw:    draw,
 		variant: v,
@@ -199,15 +193,7 @@
 func (c *cell) pass(steps int) {
 	for range steps {
 		c.now = c.now.Add(modelStep)
-		due := c.wire
-		c.wire = nil
-		for _, message := range due {
-			if message.at.After(c.now) {
-				c.wire = append(c.wire, message)
-				continue
-			}
-			message.deliver()
-		}
+		c.wire.DeliverDue(c.now)
 		step := int(c.now.UnixMilli()/modelStep.Milliseconds()) % 50
 		if step == 49 {
 			c.relist()
@@ -269,13 +255,10 @@
 		delay = c.draw("delay", 4)
 	}
 	life := to.life
-	c.wire = append(c.wire, timedMessage{
-		at: c.now.Add(time.Duration(delay) * modelStep),
-		deliver: func() {
-			if to.life == life && !to.dead && !to.paused && from.group == to.group {
-				deliver()
-			}
-		},
+	c.wire.PostAt(c.now.Add(time.Duration(delay)*modelStep), func() {
+		if to.life == life && !to.dead && !to.paused && from.group == to.group {
+			deliver()
+		}
 	})
 }
 
