--- a/pkg/roller/follower.go
+++ b/pkg/roller/follower.go
@@ -61,7 +61,8 @@
 	Sequence int64
 }
 
-// ReadPointer reads bundle_pointer/current; the answer goes to HearPointer; it is asked again if none comes.
+// ReadPointer reads bundle_pointer/current, and with it the departures, in case a watch missed a change; the answer goes
+// to HearPointer.
 type ReadPointer struct{}
 
 // StartWatch begins to watch the pointer and the departures in the store.
--- a/pkg/roller/validate.go
+++ b/pkg/roller/validate.go
@@ -42,6 +42,10 @@
 func (b Bundle) validateCustomers() error {
 	for _, name := range slices.Sorted(maps.Keys(b.Customers)) {
 		c := b.Customers[name]
+		if c.valid() && validName(string(name)) {
+			// Tens of thousands of customers are checked without preparing an error for each.
+			continue
+		}
 		path := []string{"customers", string(name)}
 		err := cmp.Or(
 			requireName(string(name), path...),
@@ -56,6 +60,10 @@
 	return nil
 }
 
+func (c Customer) valid() bool {
+	return positive(c.Weight) && positive(c.RequestsPerSecond) && c.Concurrency >= 1
+}
+
 func (b Bundle) validateModels() error {
 	for _, name := range slices.Sorted(maps.Keys(b.Models)) {
 		m := b.Models[name]
@@ -126,8 +134,11 @@
 
 // requireName keeps names usable in object names and URL paths.
 func requireName(name string, path ...string) error {
-	valid := name != "" && len(name) <= maxNameLength && strings.IndexFunc(name, notInName) < 0
-	return require(valid, name, "a name of letters, digits, dots, hyphens and underscores", path...)
+	return require(validName(name), name, "a name of letters, digits, dots, hyphens and underscores", path...)
+}
+
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameLength && strings.IndexFunc(name, notInName) < 0
 }
 
 func notInName(r rune) bool {
