--- a/pkg/storer/watcher.go
+++ b/pkg/storer/watcher.go
@@ -23,7 +23,8 @@
 	Kind Kind
 	// Prefix limits the cache to names that start with it.
 	Prefix string
-	// Wait is how long one watch call waits for changes; an idle cache becomes this old.
+	// Wait is how long one watch call waits for changes. An idle cache becomes this old, and a connection that stops
+	// responding delays changes by this time and the call's timeout.
 	Wait time.Duration
 	// Deliver, if set, receives each change in order, on the goroutine of Run.
 	Deliver func(Event)
