Learn the time between tokens while streams run

Cause: the interval was learned once per finished stream, so it lagged by the time of a stream (about 10 s) and more, and targets that had become slow kept receiving short requests.

The estimator now takes an observation every 16 tokens, with a weight of its own.

--- a/internal/bencher/instance.go
+++ b/internal/bencher/instance.go
@@ -14,10 +14,12 @@
 
 const (
 	// Cache events are polled and some are lost.
-	cachePoll  = 500 * time.Millisecond
-	cacheGaps  = 0.05
-	tokenBytes = 160 // one server-sent event with one token
-	tickTime   = 100 * time.Millisecond
+	cachePoll = 500 * time.Millisecond
+	cacheGaps = 0.05
+	// observeTokens is how often a stream teaches the time between tokens.
+	observeTokens = 16
+	tokenBytes    = 160 // one server-sent event with one token
+	tickTime      = 100 * time.Millisecond
 )
 
 // ours is the system under test: instances that share targets through owners.
@@ -57,6 +59,7 @@
 	granted  []*owner
 	sent     time.Time
 	first    time.Time
+	observed time.Time
 	uncached int
 	ended    bool
 }
@@ -377,8 +380,12 @@
 	}
 	r := c.request
 	in.system.world.token(r, index)
-	if index == 0 {
+	switch {
+	case index == 0:
 		in.firstToken(c)
+		c.observed = in.now()
+	case index%observeTokens == 0:
+		in.observeInterval(c)
 	}
 	bytes := min(tokenBytes, in.holds.Allowance(r.id))
 	in.apply(in.holds.Add(in.now(), r.id, bytes))
@@ -427,19 +434,24 @@
 	if c.ended {
 		return
 	}
-	r := c.request
-	in.system.world.end(r, failed)
-	if !failed && r.produce > 1 {
-		if d, single := c.admit.Decision.(placer.Chosen); single {
-			in.estimates.Observe(estimator.Observation{
-				Target:        d.Target,
-				TokenInterval: in.now().Sub(c.first) / time.Duration(r.produce-1),
-			})
-		}
-	}
+	in.system.world.end(c.request, failed)
 	in.stop(c)
 }
 
+// observeInterval teaches the time between tokens while a stream runs, since a target's speed
+// changes within the time of one stream.
+func (in *instance) observeInterval(c *call) {
+	d, single := c.admit.Decision.(placer.Chosen)
+	if !single || c.request.held {
+		return
+	}
+	in.estimates.Observe(estimator.Observation{
+		Target:        d.Target,
+		TokenInterval: in.now().Sub(c.observed) / observeTokens,
+	})
+	c.observed = in.now()
+}
+
 // stop ends a call in any way and gives back all it holds.
 func (in *instance) stop(c *call) {
 	if c.ended {
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -10,6 +10,9 @@
 type Settings struct {
 	// Weight is the share of one observation in the learned value.
 	Weight float64
+	// IntervalWeight is the same for the time between tokens. It is smaller, since streams report it
+	// many times and a prediction covers the whole stream, not the next few steps.
+	IntervalWeight float64
 	// MinSamples is the number of observations before a learned rate replaces the record's.
 	MinSamples int
 	// MinPrefillTokens is the shortest uncached prompt that teaches a prefill rate; shorter ones
@@ -25,6 +28,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Weight:           0.05,
+		IntervalWeight:   0.01,
 		MinSamples:       5,
 		MinPrefillTokens: 4_000,
 		MaxColdFactor:    10,
@@ -172,8 +176,8 @@
 		}
 	}
 	if o.TokenInterval > 0 {
-		known.rates.interval.add(o.TokenInterval.Seconds(), e.settings.Weight)
-		known.model.interval.add(o.TokenInterval.Seconds(), e.settings.Weight)
+		known.rates.interval.add(o.TokenInterval.Seconds(), e.settings.IntervalWeight)
+		known.model.interval.add(o.TokenInterval.Seconds(), e.settings.IntervalWeight)
 	}
 }
 
