Let short requests avoid targets where a long reservation waits

Cause: short requests that start just before a long prefill are slowed during most of their answer. A reservation that waits for memory announces such a prefill seconds ahead, but the summary counted only granted ones.

Owners should count waiting long reservations in long_prefills of their summaries.

--- a/internal/bencher/owner.go
+++ b/internal/bencher/owner.go
@@ -163,15 +163,19 @@
 
 func (o *owner) summary() placer.Summary {
 	free := o.free()
+	longs := o.longs
 	for _, one := range o.waiting {
 		free -= one.grant.tokens
+		if one.grant.long {
+			longs++
+		}
 	}
 	return placer.Summary{
 		Target:       o.engine.id,
 		FreeTokens:   max(free, 0),
 		QueueTokens:  o.queue,
 		WarmPercent:  100,
-		LongPrefills: o.longs,
+		LongPrefills: longs,
 		At:           o.polledAt,
 	}
 }
