Predict the wait of long requests from the releases of all instances

Cause: up to a tenth of the long requests was refused as unreachable although their reservation would have been granted within seconds. The predicted wait counted only the memory that this instance releases, but owners reserve from what all instances release.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -207,6 +207,10 @@
 	queues := a.model(r.Model)
 	queue := &queues.classes[class]
 	needed := r.Tokens() + queue.tokens - room.FreeTokens
+	if class == placer.Long {
+		// Owners reserve from what all instances release, and only this one's releases are known.
+		needed /= a.instances
+	}
 	memory := queues.releaseAfter(now, needed, oneRun, a.settings.RetryAfterMaximum)
 	head := time.Duration(float64(queue.length) * queue.headTime * float64(time.Second))
 	return min(max(memory, head), a.settings.RetryAfterMaximum)
