--- a/pkg/roller/model_test.go
+++ b/pkg/roller/model_test.go
@@ -21,6 +21,8 @@
 	ignorePeers
 	// fixedWatchers: the watches stay with the two lowest names whether they live or not.
 	fixedWatchers
+	// oneWatcher: a single instance of the cell holds the watches.
+	oneWatcher
 )
 
 const (
@@ -102,6 +104,9 @@
 	settings := DefaultSettings(m.name, map[string]ed25519.PublicKey{
 		"ben": modelKey.Public().(ed25519.PublicKey),
 	})
+	if c.variant == oneWatcher {
+		settings.Watchers = 1
+	}
 	m.Follower = NewFollower(settings, c.now)
 	m.life++
 	m.highest = 0
@@ -127,6 +132,7 @@
 	}
 	c.pass(int(healTime / modelStep))
 	c.checkAll("after all faults ended")
+	c.stickWatch()
 	c.rolled++
 	c.hearPointers()
 	c.pass(int(rollTime / modelStep))
@@ -134,6 +140,14 @@
 	return c.fault
 }
 
+// stickWatch lets the connection of one watch stop responding, which nobody has noticed when the next roll comes.
+func (c *cell) stickWatch() {
+	i := slices.IndexFunc(c.members, func(m *cellMember) bool { return m.watching && !m.dead })
+	if i >= 0 {
+		c.members[i].watching = false
+	}
+}
+
 func (c *cell) disturb() {
 	m := c.members[c.draw("member", len(c.members))]
 	switch c.draw("fault", 10) {
--- a/pkg/roller/property_test.go
+++ b/pkg/roller/property_test.go
@@ -23,5 +23,6 @@
 		"lower sequences accepted":    without(acceptLower),
 		"sequences of peers not used": without(ignorePeers),
 		"watches not taken over":      without(fixedWatchers),
+		"one watch in a cell":         without(oneWatcher),
 	})
 }
