--- a/pkg/elector/action.go
+++ b/pkg/elector/action.go
@@ -24,7 +24,8 @@
 	Epoch  namer.Epoch
 }
 
-// SetAuthority says what this instance may allocate on a target until a time on its clock.
+// SetAuthority says what this instance may allocate on a target until a time on its clock. The target's allocator
+// is kept when the share is zero: it counts quotas and use that outlast the authority.
 type SetAuthority struct {
 	Target namer.Target
 	Share  float64
--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -165,6 +165,7 @@
 	startAt time.Duration
 	length  time.Duration
 	granted bool
+	aborted bool
 	// asked and owners describe one-off reservations, by target.
 	asked  map[int]time.Time
 	owners map[int]namer.Holder
@@ -1020,6 +1021,9 @@
 	for _, e := range n.w.engines {
 		delete(e.running, id)
 	}
+	if t := n.attempts[id]; t != nil {
+		t.aborted = true
+	}
 	n.reserve(reserver.Release{
 		Request: id,
 		Exit:    reserver.Failed,
@@ -1149,30 +1153,39 @@
 	return ids
 }
 
+// begin sends an attempt to its engine. It arrives a step later, whether its sender still runs or not, unless
+// the sender aborted it or the engine restarted, which breaks the connection.
 func (n *instance) begin(v reserver.StartAllowed) {
 	w := n.w
 	t := n.attempts[v.Request]
 	e := w.engineOf(v.Target)
-	if e.fencing && v.Epoch < e.epoch && !w.off.engineFencing {
-		n.abort(v.Request)
-		return
-	}
-	e.epoch = max(e.epoch, v.Epoch)
-	w.started++
+	boot := e.bootID()
+	holder := n.holder
 	owner, oneOff := t.owners[e.index]
 	if !oneOff {
 		owner = w.grantor(n, e.index, v.Epoch)
 	}
-	e.running[v.Request] = &run{
-		request: v.Request,
-		holder:  n.holder,
-		epoch:   v.Epoch,
-		tokens:  t.tokens,
-		oneOff:  oneOff,
-		ends:    w.now + t.length,
-		grantor: owner,
-	}
-	w.useGrant(v.Request, e.index)
+	w.started++
+	w.after(modelStep, func() {
+		w.useGrant(v.Request, e.index)
+		if t.aborted || (boot != e.bootID() && !w.off.bootCheck) {
+			return
+		}
+		if e.fencing && v.Epoch < e.epoch && !w.off.engineFencing {
+			n.deliver(holder, func() { n.abort(v.Request) })
+			return
+		}
+		e.epoch = max(e.epoch, v.Epoch)
+		e.running[v.Request] = &run{
+			request: v.Request,
+			holder:  holder,
+			epoch:   v.Epoch,
+			tokens:  t.tokens,
+			oneOff:  oneOff,
+			ends:    w.now + t.length,
+			grantor: owner,
+		}
+	})
 }
 
 // grantor finds who granted the quota that a request uses.
