Send wanted orders, remove old call records, and keep allocators without authority

An allocator that was dropped when authority lapsed and made anew when it returned did not know the quotas that it had granted; it is now kept for a minute.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,8 +12,10 @@
 	"bergamothollow.example/bergamothollow/internal/messenger"
 	"bergamothollow.example/bergamothollow/internal/streamer"
 	"bergamothollow.example/bergamothollow/pkg/allocator"
+	"bergamothollow.example/bergamothollow/pkg/deduplicator"
 	"bergamothollow.example/bergamothollow/pkg/elector"
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/reconciler"
 	"bergamothollow.example/bergamothollow/pkg/recorder"
 	"bergamothollow.example/bergamothollow/pkg/reserver"
 	"bergamothollow.example/bergamothollow/pkg/roller"
@@ -55,12 +57,16 @@
 	ctx     context.Context
 
 	// What follows belongs to the goroutine of Run.
-	tracker   *tracker.Tracker
-	elector   *elector.Elector
-	follower  *roller.Follower
-	reserver  *reserver.Reserver
-	recorder  *recorder.Recorder
-	owned     map[namer.Target]*allocator.Allocator
+	tracker  *tracker.Tracker
+	elector  *elector.Elector
+	follower *roller.Follower
+	reserver *reserver.Reserver
+	recorder *recorder.Recorder
+	orders   *reconciler.Reconciler
+	sweeper  *deduplicator.Sweeper
+	owned    map[namer.Target]*allocator.Allocator
+	// lapsed tells since when this instance has no authority over a target whose allocator it keeps.
+	lapsed    map[namer.Target]time.Time
 	targets   map[namer.Target]tracker.Target
 	boots     map[namer.Target]string
 	bundle    roller.Bundle
@@ -94,7 +100,10 @@
 		follower:  roller.NewFollower(followerSettings(o), now),
 		reserver:  reserver.New(),
 		recorder:  recorder.New(recorderSettings(o), now),
+		orders:    newReconciler(now),
+		sweeper:   newSweeper(now),
 		owned:     map[namer.Target]*allocator.Allocator{},
+		lapsed:    map[namer.Target]time.Time{},
 		targets:   map[namer.Target]tracker.Target{},
 		boots:     map[namer.Target]string{},
 		accepting: true,
@@ -206,6 +215,8 @@
 		c.handleDistribution(m, now)
 	case membersRead, targetsRead, tableRead, tableWritten, instancesRead, memberWritten, batchWritten:
 		c.handleStore(m, now)
+	case orderAnswered, callsListed:
+		c.handleOrder(m, now)
 	case engineListed, engineLoaded, cacheRead, fenceAnswered:
 		c.handleEngine(m, now)
 	case addressesWanted:
@@ -227,6 +238,8 @@
 	c.recorderActions(c.recorder.Tick(now))
 	c.trackerActions(c.tracker.Tick(now), now)
 	c.followerActions(c.follower.Tick(now), now)
+	c.forgetLapsed(now)
+	c.tickOrders(now)
 	c.trafficTick(now)
 	c.runSchedule(now)
 	c.publish(now)
@@ -237,7 +250,7 @@
 func (c *Controller) duties() int {
 	duties := c.traffic.running()
 	if !c.table.handedOver {
-		duties += len(c.owned)
+		duties += len(c.holding())
 	}
 	if c.recorder.Pending() > 0 && c.storeAge(c.options.Clock.Now()) < c.options.Settings.Times.Isolation {
 		duties++
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -109,7 +109,7 @@
 		StoreAgeMS:       storeAgeMS(c.storeAge(now)),
 		Number:           number,
 	}
-	for _, t := range slices.Sorted(maps.Keys(c.owned)) {
+	for _, t := range c.holding() {
 		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
 	}
 	return beat
@@ -234,7 +234,8 @@
 }
 
 func (c *Controller) takeSummary(s messenger.TargetSummary, now time.Time) {
-	if _, own := c.owned[s.Target]; own {
+	_, own := c.owned[s.Target]
+	if _, lapsed := c.lapsed[s.Target]; own && !lapsed {
 		return
 	}
 	c.traffic.setSummary(s, now)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -105,14 +105,14 @@
 func (c *Controller) publish(now time.Time) {
 	m := c.options.Metrics
 	m.BundleSequence.Set(float64(c.follower.Sequence()))
-	m.OwnedTargets.Set(float64(len(c.owned)))
+	m.OwnedTargets.Set(float64(len(c.holding())))
 	m.Running.Set(float64(c.traffic.running()))
 	m.Queue.Set(float64(c.traffic.queued()))
 	m.StoreAge.Set(c.storeAge(now).Seconds())
 	m.FreeTokens.Reset()
 	m.WarmPercent.Reset()
-	for id, owned := range c.owned {
-		summary := owned.Summary(now)
+	for _, id := range c.holding() {
+		summary := c.owned[id].Summary(now)
 		m.FreeTokens.WithLabelValues(string(id)).Set(float64(summary.FreeTokens))
 		m.WarmPercent.WithLabelValues(string(id)).Set(float64(summary.WarmPercent))
 	}
--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/deduplicator"
+	"bergamothollow.example/bergamothollow/pkg/limiter"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/reconciler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+)
+
+const (
+	orderBurst = 1
+	// sweepRate is the number of old call records removed per second by each watcher.
+	sweepRate  = 5
+	sweepBurst = 10
+)
+
+// Messages of orders and of the removal of old call records.
+type (
+	orderAnswered struct {
+		target namer.Target
+		number int64
+		err    error
+	}
+	callsListed struct {
+		objects []storer.Object
+		err     error
+	}
+)
+
+func (orderAnswered) message() {}
+func (callsListed) message()   {}
+
+// newReconciler returns a reconciler whose loads are limited to the weight store's rate.
+func newReconciler(now time.Time) *reconciler.Reconciler {
+	bucket := limiter.NewBucket(reconciler.LoadsPerSecond, orderBurst, now)
+	return reconciler.New(reconciler.DefaultSettings(), bucket)
+}
+
+func newSweeper(now time.Time) *deduplicator.Sweeper {
+	return deduplicator.NewSweeper(deduplicator.DefaultSweeperSettings(), limiter.NewBucket(sweepRate, sweepBurst, now), now)
+}
+
+func (c *Controller) handleOrder(m message, now time.Time) {
+	switch m := m.(type) {
+	case orderAnswered:
+		c.orderActions(c.orders.Finish(m.target, m.number, orderResult(m.err), now), now)
+	case callsListed:
+		if m.err != nil {
+			c.logStore("list call records", m.err)
+			return
+		}
+		c.sweepActions(c.sweeper.ObservePage(storedCalls(m.objects), now))
+	}
+}
+
+func orderResult(err error) reconciler.Result {
+	var engine *streamer.EngineError
+	switch {
+	case err == nil:
+		return reconciler.ResultDone
+	case errors.As(err, &engine) && engine.Status == http.StatusConflict:
+		return reconciler.ResultStale
+	case errors.As(err, &engine) && engine.Status != 0:
+		return reconciler.ResultFailed
+	default:
+		return reconciler.ResultLost
+	}
+}
+
+func (c *Controller) orderActions(actions []reconciler.Action, now time.Time) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case reconciler.SendOrder:
+			c.sendOrder(a)
+		case reconciler.ReportStale:
+			c.staleEpoch(a.Target, a.Epoch, now)
+		}
+	}
+}
+
+func (c *Controller) sendOrder(a reconciler.SendOrder) {
+	address := c.targets[a.Target].Address
+	c.start(engineTimeout, func(ctx context.Context) message {
+		return orderAnswered{
+			target: a.Target,
+			number: a.Number,
+			err: c.options.Engines.Order(ctx, address, streamer.Order{
+				Epoch: a.Epoch,
+				Kind:  string(a.Order.Kind),
+				Name:  a.Order.Name,
+			}),
+		}
+	})
+}
+
+// tickOrders sends what is due; only instances that watch the store remove old call records, so that the fleet does not
+// list them once per instance.
+func (c *Controller) tickOrders(now time.Time) {
+	c.orderActions(c.orders.Tick(now), now)
+	if c.follower.Watching() {
+		c.sweepActions(c.sweeper.Tick(now))
+	}
+}
+
+func (c *Controller) sweepActions(actions []deduplicator.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case deduplicator.ListPage:
+			c.listCalls(a)
+		case deduplicator.Delete:
+			c.deleteCall(a)
+		}
+	}
+}
+
+func (c *Controller) listCalls(a deduplicator.ListPage) {
+	c.start(c.storeTimeout(), func(ctx context.Context) message {
+		listing, err := c.options.Store.Once(storer.PriorityNormal).List(ctx, storer.KindCall, "", a.After, a.Limit)
+		return callsListed{
+			objects: listing.Items,
+			err:     err,
+		}
+	})
+}
+
+func (c *Controller) deleteCall(a deduplicator.Delete) {
+	c.start(c.storeTimeout(), func(ctx context.Context) message {
+		if err := c.options.Store.Once(storer.PriorityNormal).Delete(ctx, storer.KindCall, a.Name, a.Version); err != nil {
+			c.options.Log.Debug().Err(err).Msg("controller: old call record not removed")
+		}
+		return nil
+	})
+}
+
+func storedCalls(objects []storer.Object) []deduplicator.Stored {
+	stored := make([]deduplicator.Stored, 0, len(objects))
+	for _, o := range objects {
+		one := deduplicator.Stored{
+			Name:    o.Name,
+			Version: o.Version,
+		}
+		if json.Unmarshal(o.Value, &one.Record) == nil {
+			stored = append(stored, one)
+		}
+	}
+	return stored
+}
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -71,9 +72,13 @@
 		KnownBoot: last.Boot,
 		KnownWarm: float64(last.WarmPercent) / 100,
 	}, now), now)
-	if a.Share == 0 && a.Until.IsZero() {
-		delete(c.owned, a.Target)
+	if a.Share == 0 {
+		c.lapsed[a.Target] = now
+		c.orders.Disown(a.Target)
+		return
 	}
+	delete(c.lapsed, a.Target)
+	c.orderActions(c.orders.Own(a.Target, a.Epoch, now), now)
 }
 
 func (c *Controller) allocatorOptions(id namer.Target) allocator.Options {
@@ -87,6 +92,32 @@
 	}
 }
 
+// allocatorKept is how long an allocator without authority is kept. Should authority return, it still knows the quotas
+// that it granted; a new one would not count them. It is longer than any quota is valid.
+const allocatorKept = time.Minute
+
+// forgetLapsed drops the allocators whose authority is long over.
+func (c *Controller) forgetLapsed(now time.Time) {
+	for id, since := range c.lapsed {
+		if now.Sub(since) > allocatorKept {
+			delete(c.lapsed, id)
+			delete(c.owned, id)
+		}
+	}
+}
+
+// holding returns the targets over which this instance has authority, sorted.
+func (c *Controller) holding() []namer.Target {
+	held := make([]namer.Target, 0, len(c.owned))
+	for id := range c.owned {
+		if _, lapsed := c.lapsed[id]; !lapsed {
+			held = append(held, id)
+		}
+	}
+	slices.Sort(held)
+	return held
+}
+
 // toAllocator hands an event to the allocator of a target if this instance has one.
 func (c *Controller) toAllocator(target namer.Target, event allocator.Event, now time.Time) {
 	if owned, ok := c.owned[target]; ok {
@@ -159,8 +190,8 @@
 // quotasFor asks each allocator for the quota of a recipient.
 func (c *Controller) quotasFor(to namer.Holder, now time.Time) []messenger.Quota {
 	var quotas []messenger.Quota
-	for id, owned := range c.owned {
-		for _, a := range owned.Handle(allocator.QuotaAsked{
+	for _, id := range c.holding() {
+		for _, a := range c.owned[id].Handle(allocator.QuotaAsked{
 			To: to,
 		}, now) {
 			grant, ok := a.(allocator.GrantQuota)
@@ -197,8 +228,8 @@
 		Requested: now,
 		Quotas:    quotas(c.quotasFor(c.options.Self, now)),
 	}, now), now)
-	for _, owned := range c.owned {
-		c.traffic.setSummary(summaryMessage(owned.Summary(now)), now)
+	for _, id := range c.holding() {
+		c.traffic.setSummary(summaryMessage(c.owned[id].Summary(now)), now)
 	}
 	c.traffic.roomChanged(now)
 }
@@ -239,7 +270,7 @@
 
 // readCaches reads the prefix cache events of the owned targets.
 func (c *Controller) readCaches() {
-	for id := range c.owned {
+	for _, id := range c.holding() {
 		address := c.targets[id].Address
 		after := c.traffic.cacheAfter(id)
 		c.start(engineTimeout, func(ctx context.Context) message {
@@ -317,6 +348,7 @@
 		Cold:        m.load.Cold,
 		QueueTokens: m.load.QueueTokens,
 	}, now)
+	c.orderActions(c.orders.ObserveBoot(m.target, m.load.BootID, now), now)
 	c.sawBoot(m.target, m.load.BootID, now)
 }
 
@@ -342,6 +374,14 @@
 	}, now), now)
 }
 
+// staleEpoch notes that an engine rejected an epoch of this instance.
+func (c *Controller) staleEpoch(target namer.Target, epoch namer.Epoch, now time.Time) {
+	c.electorActions(c.elector.Handle(elector.EpochRejected{
+		Target: target,
+		Epoch:  epoch,
+	}, now), now)
+}
+
 func (c *Controller) takeFence(m fenceAnswered, now time.Time) {
 	var engine *streamer.EngineError
 	refused := errors.As(m.err, &engine) && engine.Status == http.StatusConflict
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -290,11 +291,25 @@
 		r.Deadline = r.Received.Add(patience(r.Patience, bundle.Rules))
 	}
 	if m.failure != nil {
+		t.noteFailure(m.failure, now)
 		return t.checkRetry(now)
 	}
 	return nil
 }
 
+// noteFailure tells the elector when an engine refused an attempt for its old epoch.
+func (t *traffic) noteFailure(f *Failure, now time.Time) {
+	var engine *streamer.EngineError
+	if !errors.As(f.Cause, &engine) || engine.Code != streamer.CodeStaleEpoch {
+		return
+	}
+	for _, p := range f.Placement.Parts {
+		if p.Address == engine.Address {
+			t.control.staleEpoch(p.Target, p.Epoch, now)
+		}
+	}
+}
+
 func (t *traffic) checkRetry(now time.Time) error {
 	if !t.budget.Spend(now) {
 		return &refuser.Refusal{
