--- a/pkg/elector/model_test.go
+++ b/pkg/elector/model_test.go
@@ -36,6 +36,8 @@
 	freshList       bool
 	reconciliation  bool
 	requalification bool
+	keptAllocator   bool
+	startCheck      bool
 	// dropRule lets the platform drop instances that it alone does not see.
 	dropRule bool
 }
@@ -170,6 +172,7 @@
 	asked  map[int]time.Time
 	owners map[int]namer.Holder
 	boots  map[int]string
+	epochs map[int]namer.Epoch
 }
 
 var modelBase = time.Unix(1_000_000, 0)
@@ -246,13 +249,7 @@
 	n.attempts = map[namer.Request]*try{}
 	n.heard = map[namer.Holder]int64{}
 	for _, e := range n.w.engines {
-		n.allocs = append(n.allocs, allocator.New(allocator.Options{
-			Target:         e.id,
-			CapacityTokens: modelCapacity,
-			PrefillTokens:  1 << 20,
-			PrefillRate:    modelRate,
-			Fencing:        e.fencing,
-		}))
+		n.allocs = append(n.allocs, n.w.newAllocator(e))
 	}
 	n.nextTick, n.nextBeat, n.nextStore, n.nextList = now, now, now, now
 	var targets []elector.Target
@@ -267,6 +264,16 @@
 	})
 }
 
+func (w *world) newAllocator(e *engine) *allocator.Allocator {
+	return allocator.New(allocator.Options{
+		Target:         e.id,
+		CapacityTokens: modelCapacity,
+		PrefillTokens:  1 << 20,
+		PrefillRate:    modelRate,
+		Fencing:        e.fencing,
+	})
+}
+
 func (n *instance) local() time.Time {
 	return modelBase.Add(time.Duration(n.index)*time.Hour + time.Duration(float64(n.w.now)*n.rate))
 }
@@ -774,11 +781,18 @@
 			continue
 		}
 		n.shares[i] = v.Share
-		n.allocate(i, allocator.AuthorityGiven{
+		given := allocator.AuthorityGiven{
 			Share: v.Share,
 			Epoch: v.Epoch,
 			Until: v.Until,
-		})
+		}
+		if n.w.off.keptAllocator {
+			given.KnownBoot, given.KnownWarm = n.boots[i], 1
+			if v.Share == 0 {
+				n.allocs[i] = n.w.newAllocator(e)
+			}
+		}
+		n.allocate(i, given)
 	}
 }
 
@@ -993,6 +1007,7 @@
 				t.startAt = n.w.now + time.Duration(n.w.random.IntN(24))*modelStep
 				for i, target := range t.targets {
 					t.boots[target] = v.Grants[i].Boot
+					t.epochs[target] = v.Grants[i].Epoch
 				}
 			}
 		case reserver.Refused:
@@ -1096,6 +1111,14 @@
 			if w.off.bootCheck {
 				boot = t.boots[i]
 			}
+			if w.off.startCheck {
+				n.begin(reserver.StartAllowed{
+					Request: id,
+					Target:  w.engines[i].id,
+					Epoch:   t.epochs[i],
+				})
+				continue
+			}
 			n.reserve(reserver.Start{
 				Request: id,
 				Target:  w.engines[i].id,
@@ -1116,6 +1139,7 @@
 		asked:   map[int]time.Time{},
 		owners:  map[int]namer.Holder{},
 		boots:   map[int]string{},
+		epochs:  map[int]namer.Epoch{},
 	}
 	n.attempts[id] = t
 	prefill := min(t.tokens, 100+w.random.IntN(20_000))
--- a/pkg/elector/property_test.go
+++ b/pkg/elector/property_test.go
@@ -264,6 +264,16 @@
 	}
 }
 
+// brief isolates an owner of an unfenced target for less time than it may be held for gone.
+func brief(seed uint64) []fault {
+	return []fault{{
+		Kind:   faultCutBoth,
+		At:     time.Duration(60+seed%50) * modelStep,
+		Length: time.Duration(13+seed%10) * modelStep,
+		Who:    int(seed % 3),
+	}}
+}
+
 // divided separates the owner of an unfenced target and another member from the store and from the rest.
 func divided(seed uint64) []fault {
 	at := time.Duration(40+seed%20) * modelStep
@@ -298,6 +308,8 @@
 		{name: "only a list asked for after an expiry frees what expired", off: without{freshList: true}, faults: mixed, wantErr: exceeded},
 		{name: "the owner reconciles with the engine's list", off: without{reconciliation: true}, faults: only(faultKill), wantErr: leaked},
 		{name: "a long isolated instance regains authority by a write only", off: without{requalification: true}, faults: overlapping(faultCutBoth, faultCutStore), wantErr: exceeded},
+		{name: "an owner keeps its accounts while it has no authority", off: without{keptAllocator: true}, faults: brief, wantErr: exceeded},
+		{name: "a request asks again right before it starts", off: without{startCheck: true}, faults: mixed, wantErr: exceeded},
 		// An assumption about the platform, not a mechanism: members cut off together do not count as gone.
 		{name: "the platform drops only what is ended, paused or cut off alone", off: without{dropRule: true}, faults: divided, wantErr: exceeded},
 	}
