Give notice of long prefills to the other instances

Cause: the tail of the short requests comes from those that run on a target when a long prefill starts there: 4 s of 57 ms steps cover most of a short answer.

A long request is now sent 1.5 s after its target was chosen, so that the other instances stop placing short requests there before it starts; time spent waiting for memory counts as notice.

--- a/internal/bencher/instance.go
+++ b/internal/bencher/instance.go
@@ -55,6 +55,7 @@
 	request  *request
 	admit    admitter.Admit
 	jobs     []*job
+	sendAt   time.Time
 	quota    *owner // where the quota is used
 	granted  []*owner
 	sent     time.Time
@@ -246,6 +247,7 @@
 	case placer.Chosen:
 		one := in.system.owners[d.Target]
 		c.uncached = d.UncachedTokens
+		c.sendAt = in.now().Add(d.Notice)
 		if d.NeedsReservation {
 			wait := time.Duration(0)
 			if d.Waits {
@@ -262,6 +264,7 @@
 		in.prefill[d.Target] += c.uncached
 		in.send(c, []*engine{one.engine})
 	case placer.Group:
+		c.sendAt = in.now().Add(d.Notice)
 		wait := time.Duration(0)
 		if d.Waits {
 			wait = c.admit.ReserveWait
@@ -280,7 +283,11 @@
 		for _, one := range c.granted {
 			engines = append(engines, one.engine)
 		}
-		in.send(c, engines)
+		in.system.world.loop.after(max(0, c.sendAt.Sub(in.now())), func() {
+			if !c.ended {
+				in.send(c, engines)
+			}
+		})
 		return
 	}
 	next := members[len(c.granted)]
--- a/pkg/placer/api.go
+++ b/pkg/placer/api.go
@@ -41,6 +41,9 @@
 	HintLife time.Duration
 	// MaxHints bounds the memory of hints.
 	MaxHints int
+	// LongNotice is the time between the choice of a target for a long prefill and its start. In it
+	// the other instances learn of the prefill and stop placing short requests beside it.
+	LongNotice time.Duration
 	// LoadLife is the age at which a summary says no more than the mean of the model.
 	LoadLife time.Duration
 	// GroupShare is the share of a target's memory that one member of a group may use.
@@ -61,6 +64,7 @@
 		MaxDraws:         24,
 		HintLife:         30 * time.Second,
 		MaxHints:         200_000,
+		LongNotice:       1500 * time.Millisecond,
 		LoadLife:         3 * time.Second,
 		GroupShare:       0.8,
 		BlockTokens:      512,
@@ -135,6 +139,9 @@
 	NeedsReservation bool
 	// Waits is set when the reservation must wait at the owner until memory is free.
 	Waits bool
+	// Notice is the time from this decision before which the request must not be sent; the estimate
+	// includes it as wait.
+	Notice time.Duration
 }
 
 // Group names the targets that hold one prompt together, in ascending order of id, which is the
@@ -145,6 +152,8 @@
 	Estimate estimator.Estimate
 	// Waits is set when reservations must wait at the owners until memory is free.
 	Waits bool
+	// Notice is the time from this decision before which the parts must not be sent.
+	Notice time.Duration
 }
 
 // Member is one target of a group and the memory to reserve there.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -366,9 +366,17 @@
 	}
 	one := p.candidates[best]
 	uncached := r.PromptTokens - one.cached
+	class := p.Classify(uncached)
+	notice := time.Duration(0)
+	if class == Long {
+		notice = p.settings.LongNotice
+		one.estimate.Wait += notice
+		one.estimate.Total += notice
+	}
 	return Chosen{
 		Target:           one.state.target.ID,
-		Class:            p.Classify(uncached),
+		Class:            class,
+		Notice:           notice,
 		Estimate:         one.estimate,
 		CachedTokens:     one.cached,
 		UncachedTokens:   uncached,
@@ -550,6 +558,8 @@
 		WarmPercent: chosen[0].state.summary.WarmPercent,
 	})
 	estimate.Tokens = tokens
+	estimate.Wait += p.settings.LongNotice
+	estimate.Total += p.settings.LongNotice
 	// A group may exceed the share of long targets when nothing else does, or it could never run.
 	waits := !chosen[size-1].fits
 	if (waits && !r.MayWait) || (members.long > 0 && members.long+size > p.longLimit(members)) {
@@ -563,6 +573,7 @@
 	group := Group{
 		Estimate: estimate,
 		Waits:    waits,
+		Notice:   p.settings.LongNotice,
 	}
 	for _, one := range chosen {
 		group.Members = append(group.Members, Member{
