--- a/internal/bencher/engine.go
+++ b/internal/bencher/engine.go
@@ -88,6 +88,7 @@
 	if j.group != nil {
 		cached = 0
 	}
+	j.request.cached = cached
 	j.prefill = max(j.prompt-cached, 1)
 	j.uncached = j.prefill
 	e.jobs = append(e.jobs, j)
--- a/internal/bencher/workload.go
+++ b/internal/bencher/workload.go
@@ -57,6 +57,7 @@
 	class    placer.Class // by the whole prompt
 	instance int
 	admitted bool
+	cached   int // by the engine
 	refused  string
 	failed   bool
 	first    time.Duration // from arrival, at the caller
