--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -104,8 +104,9 @@
 	tokens  int
 	prefill int
 	// expires is the start bound on the own clock.
-	expires    time.Time
-	seen       bool
+	expires time.Time
+	// seenAt is when the last list that shows the request was answered.
+	seenAt     time.Time
 	prefilling bool
 }
 
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -217,6 +217,24 @@
 	}
 }
 
+// Guards against freeing a reservation because of a list that the engine made before the request arrived, although
+// it was asked for after one that shows the request.
+func TestListsOutOfOrder(t *testing.T) {
+	now := testStart
+	a := newOwner(now, 1)
+	ask(a, "q", 30_000, 100, 0, now)
+	running := []Running{{Request: "q", Holder: testHolder("x"), Epoch: 1, ReservedTokens: 30_000}}
+	a.Handle(Listed{Boot: "b", Requested: now.Add(time.Second), Requests: running}, now.Add(4*time.Second))
+	a.Handle(Listed{Boot: "b", Requested: now.Add(3 * time.Second)}, now.Add(4*time.Second))
+	if _, got := a.charges(); got != 30_000 {
+		t.Errorf("after a list made before the start: got %d, want 30000", got)
+	}
+	a.Handle(Listed{Boot: "b", Requested: now.Add(4 * time.Second)}, now.Add(5*time.Second))
+	if _, got := a.charges(); got != 0 {
+		t.Errorf("after a list made since: got %d, want 0", got)
+	}
+}
+
 // Guards against requests that stay at the engine when their holder is gone or does not know them.
 func TestUnknownRequestsAreCancelled(t *testing.T) {
 	now := testStart
--- a/pkg/allocator/reconcile.go
+++ b/pkg/allocator/reconcile.go
@@ -24,7 +24,7 @@
 	for _, q := range v.Requests {
 		a.listed[q.Request] = q
 	}
-	a.reconcileReservations(v.Requested)
+	a.reconcileReservations(v.Requested, now)
 	a.countUse(v.Requests)
 	for _, r := range a.recipients {
 		r.dropGrants(v.Requested)
@@ -51,21 +51,31 @@
 }
 
 // reconcileReservations frees reservations whose request has ended or did not start in time.
-func (a *Allocator) reconcileReservations(requested time.Time) {
+func (a *Allocator) reconcileReservations(requested, now time.Time) {
 	for id, v := range a.reserved {
 		running, ok := a.listed[id]
-		if !ok && (v.seen || !requested.Before(v.expires)) {
+		if !ok && v.endedBy(requested) {
 			delete(a.reserved, id)
 			continue
 		}
 		if ok {
-			v.seen = true
+			v.seenAt = now
 			v.prefilling = v.prefilling && running.ProducedTokens == 0
 			v.tokens = max(v.tokens, running.ReservedTokens)
 		}
 	}
 }
 
+// endedBy reports whether a list that lacks the request shows that it has ended. Engines may make lists in
+// another order than they were asked for, so the list must have been asked for after the answer that showed
+// the request, or after the start bound.
+func (v *reservation) endedBy(requested time.Time) bool {
+	if !v.seenAt.IsZero() && !requested.Before(v.seenAt) {
+		return true
+	}
+	return !requested.Before(v.expires)
+}
+
 // countUse attributes the listed requests that are not one-off reservations. Use under an epoch that this
 // owner never held was granted by somebody else.
 func (a *Allocator) countUse(requests []Running) {
