Take idle quotas back within two heartbeats, and reserve under a new id for each try

Cause: a prompt over three engines needs 333,000 of 432,000 tokens on each, but quotas shrank only to half of the allocatable memory, and a replaced quota stayed charged for 6.6 s, so that three targets in a row took longer than any wait. Ruled out: the ramp (four of six targets were warm) and the order of reservations. Now quotas shrink as far as the first waiting reservation needs, and a recipient reports which message's quotas it has taken, which ends the earlier ones. The capacity properties cover the adoption and requests on their way to the engine.

Each try to reserve has its own id: a late release of an earlier try would have freed what a later one holds.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -78,6 +78,7 @@
 	traffic   *traffic
 	watch     context.CancelFunc
 	answers   uint64
+	exiting   bool
 	exited    bool
 	accepting bool
 }
--- a/internal/controller/distribution.go
+++ b/internal/controller/distribution.go
@@ -14,8 +14,9 @@
 	"bergamothollow.example/bergamothollow/pkg/tracker"
 )
 
-// watchWait is how long one watch call waits; a watch counts as a call, so long waits save calls.
-const watchWait = 25 * time.Second
+// watchWait is how long one watch call waits. It is well under the time in which a departure must be in force, because a
+// connection that stopped responding hides changes until the wait is over.
+const watchWait = 2 * time.Second
 
 func (c *Controller) handleDistribution(m message, now time.Time) {
 	switch m := m.(type) {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -48,8 +48,14 @@
 	}
 }
 
+// exit ends the planned stop once the last member record is written, which tells the others that this process is gone.
 func (c *Controller) exit() {
-	if !c.exited {
+	c.exiting = true
+	c.exitWhenWritten()
+}
+
+func (c *Controller) exitWhenWritten() {
+	if c.exiting && !c.exited && !c.member.writing {
 		c.exited = true
 		close(c.done)
 	}
@@ -79,6 +85,7 @@
 		beat := c.beat(number, now)
 		beat.Heard = c.elector.Heard(p.Holder, now)
 		beat.Demand = c.demand(p.Holder, now)
+		beat.Adopted = c.reserver.Adopted(p.Holder)
 		c.sendHeartbeat(p, beat, now)
 	}
 }
@@ -151,9 +158,10 @@
 	case beatHeard:
 		c.takeBeat(m.beat, now)
 		c.takeDemand(m.beat, now)
-		answer := c.beat(c.nextNumber(now), now)
+		number := c.nextNumber(now)
+		answer := c.beat(number, now)
 		answer.Heard = c.elector.Heard(m.beat.Sender, now)
-		answer.Quotas = c.quotasFor(m.beat.Sender, now)
+		answer.Quotas = c.quotasFor(m.beat.Sender, number, now)
 		m.reply <- answer
 	case beatAnswered:
 		c.takeBeatAnswer(m, now)
@@ -242,12 +250,18 @@
 	c.sawBoot(s.Target, s.Boot, now)
 }
 
+// takeDemand hands each allocator what the sender reports; a target that it does not mention is not in use there.
 func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
+	demand := map[namer.Target]messenger.Demand{}
 	for _, d := range b.Demand {
-		c.toAllocator(d.Target, allocator.DemandReported{
+		demand[d.Target] = d
+	}
+	for id := range c.owned {
+		c.toAllocator(id, allocator.DemandReported{
 			From:         b.Sender,
-			UsedTokens:   d.UsedTokens,
-			WantedTokens: d.WantedTokens,
+			UsedTokens:   demand[id].UsedTokens,
+			WantedTokens: demand[id].WantedTokens,
+			Adopted:      b.Adopted,
 		}, now)
 	}
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -188,11 +188,12 @@
 }
 
 // quotasFor asks each allocator for the quota of a recipient.
-func (c *Controller) quotasFor(to namer.Holder, now time.Time) []messenger.Quota {
+func (c *Controller) quotasFor(to namer.Holder, number int64, now time.Time) []messenger.Quota {
 	var quotas []messenger.Quota
 	for _, id := range c.holding() {
 		for _, a := range c.owned[id].Handle(allocator.QuotaAsked{
-			To: to,
+			To:     to,
+			Number: number,
 		}, now) {
 			grant, ok := a.(allocator.GrantQuota)
 			if !ok {
@@ -214,19 +215,17 @@
 
 // grantOwnQuotas gives this instance its own share of the targets that it owns.
 func (c *Controller) grantOwnQuotas(now time.Time) {
-	for _, d := range c.reserver.Demand(c.options.Self, now) {
-		c.toAllocator(d.Target, allocator.DemandReported{
-			From:         c.options.Self,
-			UsedTokens:   d.UsedTokens,
-			WantedTokens: d.WantedTokens,
-		}, now)
-	}
+	c.takeDemand(messenger.Heartbeat{
+		Sender:  c.options.Self,
+		Demand:  c.demand(c.options.Self, now),
+		Adopted: c.reserver.Adopted(c.options.Self),
+	}, now)
 	c.number++
 	c.reserverActions(c.reserver.Handle(reserver.QuotasReceived{
 		From:      c.options.Self,
 		Number:    c.number,
 		Requested: now,
-		Quotas:    quotas(c.quotasFor(c.options.Self, now)),
+		Quotas:    quotas(c.quotasFor(c.options.Self, c.number, now)),
 	}, now), now)
 	for _, id := range c.holding() {
 		c.traffic.setSummary(summaryMessage(c.owned[id].Summary(now)), now)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -18,6 +18,8 @@
 type memberState struct {
 	version int64
 	writing bool
+	// next is the record to write once the present write has ended.
+	next *tracker.Member
 }
 
 // tableState is what is known of writes of the ownership table.
@@ -253,6 +255,8 @@
 // renewMember writes the own member record with the next heartbeat number.
 func (c *Controller) renewMember(member tracker.Member, now time.Time) {
 	if c.member.writing {
+		// The record of a planned stop must not be lost to a renewal under way.
+		c.member.next = &member
 		return
 	}
 	c.member.writing = true
@@ -287,6 +291,7 @@
 
 func (c *Controller) takeMemberWrite(m memberWritten, now time.Time) {
 	c.member.writing = false
+	defer c.renewNext(now)
 	var conflict *storer.ConflictError
 	switch {
 	case m.err == nil:
@@ -301,6 +306,17 @@
 	}
 }
 
+// renewNext writes the record that came while another was being written; a process that has nothing else to do exits after
+// its last record.
+func (c *Controller) renewNext(now time.Time) {
+	if next := c.member.next; next != nil {
+		c.member.next = nil
+		c.renewMember(*next, now)
+		return
+	}
+	c.exitWhenWritten()
+}
+
 // nextNumber returns the next heartbeat number; the elector learns of it before it is sent.
 func (c *Controller) nextNumber(now time.Time) int64 {
 	c.number++
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -31,15 +31,19 @@
 	stageRunning
 )
 
-// attempt is one try of a request, from its admission to its release.
+// attempt is one attempt of a request, from its admission to its release.
 type attempt struct {
-	id        namer.Request
-	admission *admit
-	stage     stageName
-	admitted  admitter.Admit
-	class     placer.Class
-	estimate  estimator.Estimate
-	targets   []namer.Target
+	// id is the admission's.
+	id namer.Request
+	// reservation is the id under which owners and engines know the attempt. It is new for each try to reserve memory: a
+	// late release of an earlier try must not free what a later one holds.
+	reservation namer.Request
+	admission   *admit
+	stage       stageName
+	admitted    admitter.Admit
+	class       placer.Class
+	estimate    estimator.Estimate
+	targets     []namer.Target
 	// uncached is the prefill that the placement counted on.
 	uncached int
 }
@@ -53,6 +57,7 @@
 	admitter  *admitter.Admitter
 	budget    *retrier.Budget
 	attempts  map[namer.Request]*attempt
+	reserved  map[namer.Request]*attempt
 	sequence  int64
 	calls     map[namer.Target]int
 	summaries map[namer.Target]messenger.TargetSummary
@@ -68,6 +73,7 @@
 		estimator: estimator.New(estimator.DefaultSettings()),
 		budget:    retrier.NewBudget(retrier.DefaultSettings()),
 		attempts:  map[namer.Request]*attempt{},
+		reserved:  map[namer.Request]*attempt{},
 		calls:     map[namer.Target]int{},
 		summaries: map[namer.Target]messenger.TargetSummary{},
 		caches:    map[namer.Target]int64{},
@@ -254,11 +260,8 @@
 		}
 		return
 	}
-	t.sequence++
 	a := &attempt{
-		// Unique over all instances: two of them may serve the same request id of a caller, and engines know
-		// requests by this id.
-		id:        namer.Request(fmt.Sprintf("%s.%s-%d", m.request.ID, t.control.options.Self.Incarnation, t.sequence)),
+		id:        t.newID(m.request),
 		admission: m,
 	}
 	t.attempts[a.id] = a
@@ -270,6 +273,12 @@
 	t.act(t.admitter.Resubmit(now, t.admissionOf(a)), now)
 }
 
+// newID returns an id that is unique over all instances: two of them may serve the same request id of a caller.
+func (t *traffic) newID(r *Request) namer.Request {
+	t.sequence++
+	return namer.Request(fmt.Sprintf("%s.%s-%d", r.ID, t.control.options.Self.Incarnation, t.sequence))
+}
+
 // check completes the request from the bundle, or refuses it.
 func (t *traffic) check(m *admit, now time.Time) error {
 	r := m.request
@@ -431,13 +440,15 @@
 	}
 	a.stage = stageReserving
 	a.admitted = admitted
-	t.placer.Start(now, a.id, admitted.Decision)
+	a.reservation = t.newID(a.admission.request)
+	t.reserved[a.reservation] = a
+	t.placer.Start(now, a.reservation, admitted.Decision)
 	switch d := admitted.Decision.(type) {
 	case placer.Chosen:
 		a.class, a.estimate, a.uncached = d.Class, d.Estimate, d.UncachedTokens
 		a.targets = []namer.Target{d.Target}
 		t.control.reserverActions(t.control.reserver.Handle(reserver.Reserve{
-			Request:       a.id,
+			Request:       a.reservation,
 			Target:        d.Target,
 			Tokens:        d.Estimate.Tokens,
 			PrefillTokens: d.UncachedTokens,
@@ -450,7 +461,7 @@
 			a.targets = append(a.targets, m.Target)
 		}
 		t.control.reserverActions(t.control.reserver.Handle(reserver.ReserveGroup{
-			Request:       a.id,
+			Request:       a.reservation,
 			Targets:       a.targets,
 			Tokens:        d.Members[0].Tokens,
 			PrefillTokens: d.Members[0].Tokens,
@@ -471,18 +482,50 @@
 
 // reserveRefused puts an attempt back into the queue.
 func (t *traffic) reserveRefused(refused reserver.Refused, now time.Time) {
-	a := t.attempts[refused.Request]
+	a := t.reserved[refused.Request]
 	if a == nil {
 		return
 	}
-	t.placer.Finish(a.id)
+	t.requeue(a, now)
+}
+
+func (t *traffic) requeue(a *attempt, now time.Time) {
+	t.giveBack(a, reserver.Cancelled, now)
 	t.admitter.Requeue(now, a.id, a.class)
 	a.stage = stageQueued
 }
 
+// giveBack ends the reservation of an attempt.
+func (t *traffic) giveBack(a *attempt, exit reserver.Exit, now time.Time) {
+	delete(t.reserved, a.reservation)
+	t.placer.Finish(a.reservation)
+	t.control.reserverActions(t.control.reserver.Handle(reserver.Release{
+		Request: a.reservation,
+		Exit:    exit,
+	}, now), now)
+}
+
+// mayStart asks once more for each part: while the later parts of a group were reserved, the time in which the first may
+// start can have run out.
+func (t *traffic) mayStart(g reserver.Granted, now time.Time) bool {
+	for _, grant := range g.Grants {
+		for _, a := range t.control.reserver.Handle(reserver.Start{
+			Request: g.Request,
+			Target:  grant.Target,
+			Boot:    grant.Boot,
+		}, now) {
+			if _, denied := a.(reserver.StartDenied); denied {
+				return false
+			}
+			t.control.reserverActions([]reserver.Action{a}, now)
+		}
+	}
+	return true
+}
+
 // granted starts an attempt whose memory is reserved.
 func (t *traffic) granted(g reserver.Granted, now time.Time) {
-	a := t.attempts[g.Request]
+	a := t.reserved[g.Request]
 	if a == nil {
 		t.control.reserverActions(t.control.reserver.Handle(reserver.Release{
 			Request: g.Request,
@@ -490,6 +533,10 @@
 		}, now), now)
 		return
 	}
+	if !t.mayStart(g, now) {
+		t.requeue(a, now)
+		return
+	}
 	placement := t.placementOf(a, g)
 	a.stage = stageRunning
 	a.admission.request.Attempts++
@@ -500,7 +547,7 @@
 
 func (t *traffic) placementOf(a *attempt, g reserver.Granted) *Placement {
 	placement := &Placement{
-		Attempt:          string(a.id),
+		Attempt:          string(a.reservation),
 		Priority:         a.admitted.Priority,
 		Class:            a.class.String(),
 		Holder:           t.control.options.Self.String(),
@@ -524,7 +571,7 @@
 
 func (t *traffic) firstToken(m firstToken, now time.Time) {
 	id := namer.Request(m.placement.Attempt)
-	a := t.attempts[id]
+	a := t.reserved[id]
 	if a == nil {
 		return
 	}
@@ -571,8 +618,7 @@
 }
 
 func (t *traffic) release(m released, now time.Time) {
-	id := namer.Request(m.placement.Attempt)
-	a := t.attempts[id]
+	a := t.reserved[namer.Request(m.placement.Attempt)]
 	if a == nil {
 		return
 	}
@@ -595,12 +641,8 @@
 // finish gives back everything that the attempt holds.
 func (t *traffic) finish(a *attempt, exit reserver.Exit, now time.Time) {
 	delete(t.attempts, a.id)
-	t.placer.Finish(a.id)
+	t.giveBack(a, exit, now)
 	t.admitter.Finish(now, a.id)
-	t.control.reserverActions(t.control.reserver.Handle(reserver.Release{
-		Request: a.id,
-		Exit:    exit,
-	}, now), now)
 	t.roomChanged(now)
 }
 
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -32,6 +32,9 @@
 	Targets    []TargetSummary `json:"targets,omitempty"`
 	Quotas     []Quota         `json:"quotas,omitempty"`
 	Demand     []Demand        `json:"demand,omitempty"`
+	// Adopted is the number of the last message of the receiver whose quotas the sender took; targets without demand
+	// are not in use.
+	Adopted int64 `json:"adopted,omitempty"`
 }
 
 // TargetSummary is the load of one target as its owner sees it.
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -93,6 +93,8 @@
 
 // grant is one quota that may still be used.
 type grant struct {
+	// number is that of the message that carried the quota.
+	number  int64
 	memory  int
 	prefill int
 	expires time.Time
@@ -142,8 +144,9 @@
 	case DemandReported:
 		r := a.recipient(v.From)
 		r.used, r.wanted, r.heardAt = v.UsedTokens, v.WantedTokens, now
+		r.adopt(v.Adopted)
 	case QuotaAsked:
-		return []Action{a.grantQuota(v.To, now)}
+		return []Action{a.grantQuota(v, now)}
 	case ReserveAsked:
 		return a.reserve(v, now)
 	case Released:
--- a/pkg/allocator/event.go
+++ b/pkg/allocator/event.go
@@ -26,11 +26,15 @@
 	From         namer.Holder
 	UsedTokens   int
 	WantedTokens int
+	// Adopted is the number of the last message whose quotas the recipient had put in place of earlier ones when it
+	// reported its use; 0 if not known.
+	Adopted int64
 }
 
-// QuotaAsked asks for the quota to put into a message to a recipient.
+// QuotaAsked asks for the quota to put into the message with a number to a recipient.
 type QuotaAsked struct {
-	To namer.Holder
+	To     namer.Holder
+	Number int64
 }
 
 // ReserveAsked asks for a one-off reservation; Request is the attempt id that the engine will list.
--- a/pkg/allocator/quota.go
+++ b/pkg/allocator/quota.go
@@ -1,17 +1,18 @@
 package allocator
 
 import (
+	"slices"
 	"time"
-
-	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
 // grantQuota computes the quota of one recipient and charges it until it is known to be unused.
-func (a *Allocator) grantQuota(to namer.Holder, now time.Time) Action {
+func (a *Allocator) grantQuota(v QuotaAsked, now time.Time) Action {
+	to := v.To
 	r := a.recipient(to)
 	r.heardAt = now
 	limit := a.limit()
 	g := grant{
+		number:  v.Number,
 		expires: now.Add(quotaGone()),
 	}
 	if limit > 0 && !a.isLost(to) {
@@ -57,12 +58,19 @@
 	return even, pool - even*n
 }
 
-// poolBesideWaiting lets quotas shrink while a one-off reservation waits for memory.
+// poolBesideWaiting lets quotas shrink until the first one-off reservation that waits for memory fits beside them. A part
+// of a prompt over several targets takes most of a target, so that nothing may be kept back from it.
 func (a *Allocator) poolBesideWaiting(pool int) int {
 	if len(a.waiting) == 0 {
 		return pool
 	}
-	return max(int(float64(pool)*idleShare), pool-a.waiting[0].ask.Tokens)
+	ask := a.waiting[0].ask
+	_, reservations := a.charges()
+	needed := ask.Tokens + reservations
+	if ask.PrefillTokens > ShortPrefillTokens {
+		needed = int(float64(needed) / LongerShare)
+	}
+	return max(0, min(pool, a.limit()-needed))
 }
 
 func (a *Allocator) quotaPrefill(r *recipient, memory, limit int) int {
@@ -110,6 +118,35 @@
 	r.grants = append(r.grants, g)
 }
 
+// adopt ends the grants before that of the message whose quota the recipient reports to have adopted: it can start
+// nothing under them any more. What it had started under them is in its reported use, which the new quota then bounds;
+// that use stays charged until the earlier grants would have expired, because the engine's list may not show it yet.
+func (r *recipient) adopt(number int64) {
+	adopted := slices.IndexFunc(r.grants, func(g grant) bool { return g.number == number })
+	if number == 0 || adopted < 0 {
+		return
+	}
+	rest := grant{
+		number: number,
+		memory: max(r.grants[adopted].memory, r.used),
+	}
+	kept := r.grants[:0]
+	for _, g := range r.grants {
+		if g.number >= number {
+			kept = append(kept, g)
+			continue
+		}
+		rest.prefill = max(rest.prefill, g.prefill)
+		if g.expires.After(rest.expires) {
+			rest.expires = g.expires
+		}
+	}
+	r.grants = kept
+	if !rest.expires.IsZero() {
+		r.grants = append(r.grants, rest)
+	}
+}
+
 // dropGrants forgets grants that had expired when the engine's list was asked for: whatever began under them
 // is in that list.
 func (r *recipient) dropGrants(requested time.Time) {
--- a/pkg/elector/property_test.go
+++ b/pkg/elector/property_test.go
@@ -50,6 +50,12 @@
 	sum := 0
 	quotas := map[share]int{}
 	running := map[share]int{}
+	// A request on its way to the engine may have started under a quota that a smaller one has replaced since.
+	for key, f := range w.flights {
+		if key.target == e.index {
+			running[f.share] += f.tokens
+		}
+	}
 	for _, r := range e.running {
 		if r.oneOff {
 			sum += r.tokens
@@ -95,6 +101,9 @@
 	if g.boot != e.bootID() && !w.off.bootCheck {
 		return false
 	}
+	if g.request == "" && g.number < n.res.Adopted(g.owner) {
+		return false
+	}
 	now := n.local()
 	if w.off.sentTimeExpiry {
 		now = now.Add(-2 * modelStep)
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -42,6 +42,8 @@
 	attempts map[namer.Request]*attempt
 	// asking holds the attempts that wait for an owner.
 	asking map[namer.Request]*attempt
+	// adopted is the number of the last message of each owner whose quotas were taken.
+	adopted map[namer.Holder]int64
 }
 
 // target is what this instance holds on one target.
@@ -94,6 +96,7 @@
 		targets:  map[namer.Target]*target{},
 		attempts: map[namer.Request]*attempt{},
 		asking:   map[namer.Request]*attempt{},
+		adopted:  map[namer.Holder]int64{},
 	}
 }
 
@@ -139,6 +142,10 @@
 // setQuotas replaces quotas by those of a newer message. Of two owners that both allocate the target, the one
 // with the higher epoch counts until its quota expires.
 func (r *Reserver) setQuotas(v QuotasReceived) {
+	if v.Number < r.adopted[v.From] {
+		return
+	}
+	r.adopted[v.From] = v.Number
 	for _, q := range v.Quotas {
 		t := r.target(q.Target)
 		if v.Number <= t.numbers[v.From] {
@@ -157,6 +164,12 @@
 	}
 }
 
+// Adopted returns the number of the last message of an owner whose quotas were taken; earlier ones are never taken after it.
+// It is reported together with the demand, so that the owner can end earlier quotas before they expire.
+func (r *Reserver) Adopted(owner namer.Holder) int64 {
+	return r.adopted[owner]
+}
+
 // allocatedBy is whom to ask for memory: the source of a valid quota, which may be a successor that acts before
 // the table says so, or else the owner in the table.
 func (t *target) allocatedBy(now time.Time) namer.Holder {
