--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -464,9 +464,6 @@
 		WarmPercent: target.summary.WarmPercent,
 	})
 	rated.score = rated.estimate.FirstToken() + 2*target.delay
-	if class == Medium && target.long {
-		rated.score -= 300 * time.Millisecond
-	}
 	if class == Long && !p.longAllowed(target) {
 		return rated
 	}
