Place long prefills where few streams run

Cause: the score of a long request was the time to its first token, which says little about the number of streams that its prefill slows. The predicted time of its answer does: the time between tokens grows with the running streams. Ruled out: the same term for short requests, which spoils their time to the first token.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -464,6 +464,10 @@
 		WarmPercent: target.summary.WarmPercent,
 	})
 	rated.score = rated.estimate.FirstToken() + 2*target.delay
+	if class == Long {
+		// The predicted time between tokens grows with the streams that a long prefill would slow.
+		rated.score += rated.estimate.Decode
+	}
 	if class == Long && !p.longAllowed(target) {
 		return rated
 	}
