Admit by the predicted time without a further margin

Cause: with a data centre out at the whole design load, 4 to 6% of the requests were refused as unreachable although the remaining targets had room: streams are slower then, and 1.25 times the predicted time of the longest allowed answer exceeded the deadline of short requests. The prediction already covers the longest answer; the mean answer is 0.59 of it.

--- a/pkg/admitter/api.go
+++ b/pkg/admitter/api.go
@@ -37,7 +37,7 @@
 		RaiseShare:        0.75,
 		WaitShare:         0.25,
 		MaxReserveWait:    5 * time.Second,
-		Margin:            1.25,
+		Margin:            1.0,
 		FlowsTried:        4,
 		RetryAfterMinimum: 100 * time.Millisecond,
 		RetryAfterMaximum: time.Minute,
