Exchange heartbeats once per pair and interval

Cause: both instances of a pair called each other each second, so that each heartbeat was sent twice, once as a call and once as an answer. Now one side of each pair calls, chosen evenly over the pairs by a hash of the names; the other side calls only when the call is missing for 1.5 intervals. The caller's quotas travel in its next call and count from the sending of the number they echo; those for an earlier process of the receiver's name are void.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,6 +70,7 @@
 	table     tableState
 	schedule  schedule
 	traffic   *traffic
+	exchanges exchanges
 	watch     context.CancelFunc
 	answers   uint64
 	exited    bool
@@ -98,6 +99,7 @@
 		targets:   map[namer.Target]tracker.Target{},
 		boots:     map[namer.Target]string{},
 		accepting: true,
+		exchanges: newExchanges(),
 	}
 	c.traffic = newTraffic(c)
 	return c, nil
@@ -266,7 +268,7 @@
 	c.electorActions(c.elector.Handle(elector.Leave{}, now), now)
 	c.recorderActions(c.recorder.Close(now))
 	// Peers and callers learn of the departure with the next heartbeat, so it is sent now.
-	c.sendHeartbeats(now)
+	c.sendHeartbeats(now, true)
 }
 
 // storeAge is the time since the store last answered.
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -69,20 +69,29 @@
 	})
 }
 
-// sendHeartbeats sends one heartbeat to each peer.
-func (c *Controller) sendHeartbeats(now time.Time) {
+// sendHeartbeats calls the peers that it is this instance's turn to call, or all of them.
+func (c *Controller) sendHeartbeats(now time.Time, all bool) {
 	number := c.nextNumber(now)
-	for _, p := range c.tracker.Peers(now) {
-		if p.State == tracker.StateLeft {
+	peers := c.tracker.Peers(now)
+	c.exchanges.forget(peers, now)
+	for _, p := range peers {
+		if p.State == tracker.StateLeft || (!all && !c.mustCall(p, now)) {
 			continue
 		}
-		beat := c.beat(number, now)
-		beat.Heard = c.elector.Heard(p.Holder, now)
-		beat.Demand = c.demand(p.Holder, now)
+		beat := c.beatTo(p.Holder, number, now)
+		c.addCallQuotas(&beat, p.Holder, now)
 		c.sendHeartbeat(p, beat, now)
 	}
 }
 
+// beatTo returns the heartbeat for one peer, without quotas.
+func (c *Controller) beatTo(peer namer.Holder, number int64, now time.Time) messenger.Heartbeat {
+	beat := c.beat(number, now)
+	beat.Heard = c.elector.Heard(peer, now)
+	beat.Demand = c.demand(peer, now)
+	return beat
+}
+
 func (c *Controller) sendHeartbeat(p tracker.Peer, beat messenger.Heartbeat, now time.Time) {
 	c.start(peerTimeout, func(ctx context.Context) message {
 		answer, err := c.options.Peers.Heartbeat(ctx, p.PeerAddress, beat)
@@ -149,10 +158,10 @@
 func (c *Controller) handlePeer(m message, now time.Time) {
 	switch m := m.(type) {
 	case beatHeard:
+		c.exchanges.peer(m.beat.Sender).called = now
 		c.takeBeat(m.beat, now)
-		c.takeDemand(m.beat, now)
-		answer := c.beat(c.nextNumber(now), now)
-		answer.Heard = c.elector.Heard(m.beat.Sender, now)
+		c.takeCallQuotas(m.beat, now)
+		answer := c.beatTo(m.beat.Sender, c.nextNumber(now), now)
 		answer.Quotas = c.quotasFor(m.beat.Sender, now)
 		m.reply <- answer
 	case beatAnswered:
@@ -184,13 +193,7 @@
 		return
 	}
 	c.takeBeat(m.answer, now)
-	c.reserverActions(c.reserver.Handle(reserver.QuotasReceived{
-		From:      m.answer.Sender,
-		Number:    m.answer.Number,
-		Requested: m.sent,
-		Quotas:    quotas(m.answer.Quotas),
-	}, now), now)
-	c.traffic.roomChanged(now)
+	c.takeQuotas(m.answer, m.sent, now)
 }
 
 func quotas(messages []messenger.Quota) []reserver.Quota {
@@ -210,6 +213,8 @@
 
 // takeBeat hands a peer's heartbeat to every part that learns from it.
 func (c *Controller) takeBeat(b messenger.Heartbeat, now time.Time) {
+	x := c.exchanges.peer(b.Sender)
+	x.number = max(x.number, b.Number)
 	c.trackerActions(c.tracker.ObserveBeat(tracker.Beat{
 		Sender:           b.Sender,
 		State:            b.State,
@@ -231,6 +236,7 @@
 	for _, t := range b.Targets {
 		c.takeSummary(t, now)
 	}
+	c.takeDemand(b, now)
 }
 
 func (c *Controller) takeSummary(s messenger.TargetSummary, now time.Time) {
--- a/internal/controller/schedule.go
+++ b/internal/controller/schedule.go
@@ -45,7 +45,7 @@
 	times := c.options.Settings.Times
 	if due(&s.heartbeats, now, times.Heartbeat) {
 		c.grantOwnQuotas(now)
-		c.sendHeartbeats(now)
+		c.sendHeartbeats(now, false)
 	}
 	if due(&s.members, now, membersInterval) {
 		c.readMembers(now)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -304,6 +304,7 @@
 // nextNumber returns the next heartbeat number; the elector learns of it before it is sent.
 func (c *Controller) nextNumber(now time.Time) int64 {
 	c.number++
+	c.exchanges.noteSent(c.number, now)
 	c.electorActions(c.elector.Handle(elector.HeartbeatSent{
 		Number: c.number,
 	}, now), now)
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -16,7 +16,7 @@
 	MethodConfirm        = "confirm"
 )
 
-// Heartbeat is sent once a second to each peer of the cell and answered in kind.
+// Heartbeat is exchanged once a second by each pair of instances of the cell: one calls, the other answers in kind.
 type Heartbeat struct {
 	Sender           namer.Holder     `json:"sender"`
 	State            tracker.State    `json:"state"`
@@ -32,6 +32,10 @@
 	Targets    []TargetSummary `json:"targets,omitempty"`
 	Quotas     []Quota         `json:"quotas,omitempty"`
 	Demand     []Demand        `json:"demand,omitempty"`
+	// Echo is the receiver's number that the quotas of a call count from; an answer's count from its call.
+	Echo int64 `json:"echo,omitempty"`
+	// Receiver is the process that sent the number in Echo.
+	Receiver namer.Incarnation `json:"receiver,omitempty"`
 }
 
 // TargetSummary is the load of one target as its owner sees it.
