--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -7,16 +7,23 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	registrar "bergamothollow.example/bergamothollow/internal/cmd"
+	starter "bergamothollow.example/bergamothollow/internal/cmd/serve"
 	"bergamothollow.example/bergamothollow/internal/emulator/engine"
 	"bergamothollow.example/bergamothollow/internal/emulator/platform"
 	"bergamothollow.example/bergamothollow/internal/emulator/service"
+	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/internal/loader"
+	"bergamothollow.example/bergamothollow/internal/server"
 )
 
 const (
@@ -41,9 +48,38 @@
 		"emulator-engine":   main(engine.Run),
 		"emulator-service":  main(service.Run),
 		"loader":            main(loader.Run),
+		"bergamothollow":    main(runProduct),
+		"load":              main(runLoad),
+		"send":              main(runSend),
 	})
 }
 
+// runProduct is the program bergamothollow.
+func runProduct(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	f := factory.New(os.Stdin, stdout, stderr)
+	return f.Execute(ctx, append(registrar.Commands(f), starter.NewCommand(f)), arguments)
+}
+
+// runLoad is the loader with the instances and customers of the scenario's cell.
+func runLoad(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	defaults := []string{
+		"--instances", os.Getenv("ENTRIES"), "--model", "statement", "--long-every", "0", "--short-median", "1000",
+		"--max-prompt", "6000", "--customers", "crew-shares=1", "--deadline", "20s", "--rate", "30",
+	}
+	return loader.Run(ctx, append(defaults, arguments...), stdout, stderr)
+}
+
+// runSend is the command http as a program, which can run in the background.
+func runSend(_ context.Context, arguments []string, stdout, stderr io.Writer) int {
+	if err := send(stdout, arguments); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 1
+	}
+	return 0
+}
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
@@ -51,22 +87,52 @@
 			"ports":    ports,
 			"waithttp": waitHTTP,
 			"http":     sendHTTP,
+			"cell":     startCell,
+			"start":    startAgain,
+			"signal":   signalProcesses,
+			"ended":    waitEnded,
+			"alive":    checkAlive,
+			"until":    waitUntil,
 		},
 		RequireExplicitExec: true,
+		Setup:               setUp,
 	})
 }
 
+// Ports are taken from below the range of outgoing connections, which would take them between choice and use.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+// nextPort starts at different ports in concurrent runs.
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(os.Getpid()) * 101)
+}
+
+// freeAddress returns a loopback address that nothing listens on and that no scenario of this run has been given.
+func freeAddress(ts *testscript.TestScript) string {
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			ts.Check(l.Close())
+			return address
+		}
+	}
+	ts.Fatalf("no free port from %d to %d", firstPort, firstPort+portCount)
+	return ""
+}
+
 // ports sets each variable to a free loopback address: ports VARIABLE...
 func ports(ts *testscript.TestScript, neg bool, names []string) {
 	if neg || len(names) == 0 {
 		ts.Fatalf("usage: ports VARIABLE...")
 	}
 	for _, name := range names {
-		// The listeners stay open until all are found, so that no port is given twice.
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer func() { _ = l.Close() }()
-		ts.Setenv(name, l.Addr().String())
+		ts.Setenv(name, freeAddress(ts))
 	}
 }
 
@@ -98,18 +164,30 @@
 	ts.Fatalf("waithttp %s: %s after %v", args[0], last, waitTimeout)
 }
 
-// sendHTTP sends a request and writes the response's status line and body to stdout; with ! no response may arrive:
-// http METHOD URL ['Header: value'...] [body]
+// sendHTTP sends a request and writes status, own headers and body of the response to stdout; with ! no response may
+// arrive: http METHOD URL ['Header: value'...] [body]
 func sendHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	err := send(ts.Stdout(), args)
+	if neg && err == nil {
+		ts.Fatalf("http: got a response, want none")
+	}
+	if !neg {
+		ts.Check(err)
+	}
+}
+
+func send(w io.Writer, args []string) error {
 	if len(args) < 2 {
-		ts.Fatalf("usage: [!] http METHOD URL ['Header: value'...] [body]")
+		return fmt.Errorf("usage: METHOD URL ['Header: value'...] [body]")
 	}
 	headers, body := args[2:], ""
 	if n := len(headers); n > 0 && !isHeader(headers[n-1]) {
 		headers, body = headers[:n-1], headers[n-1]
 	}
 	req, err := http.NewRequest(args[0], args[1], strings.NewReader(body))
-	ts.Check(err)
+	if err != nil {
+		return err
+	}
 	for _, header := range headers {
 		name, value, _ := strings.Cut(header, ": ")
 		req.Header.Set(name, value)
@@ -120,19 +198,20 @@
 		Timeout: httpTimeout,
 	}
 	resp, err := client.Do(req)
-	if neg {
-		if err == nil {
-			_ = resp.Body.Close()
-			ts.Fatalf("http %s %s: got %s, want no response", args[0], args[1], resp.Status)
-		}
-		return
+	if err != nil {
+		return err
 	}
-	ts.Check(err)
 	defer func() { _ = resp.Body.Close() }()
-	_, err = fmt.Fprintf(ts.Stdout(), "status %d\n", resp.StatusCode)
-	ts.Check(err)
-	_, err = io.Copy(ts.Stdout(), resp.Body)
-	ts.Check(err)
+	if _, err = fmt.Fprintf(w, "status %d\n", resp.StatusCode); err != nil {
+		return err
+	}
+	if resp.Header.Get(server.HeaderReplayed) != "" {
+		if _, err = fmt.Fprintln(w, "replayed"); err != nil {
+			return err
+		}
+	}
+	_, err = io.Copy(w, resp.Body)
+	return err
 }
 
 // isHeader reports whether an argument of http is a header and not the body.
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/emulator/answerer"
@@ -38,6 +39,8 @@
 	bootID  string
 	clock   clock
 	wake    chan struct{}
+	// accepted counts requests that were given memory.
+	accepted atomic.Int64
 
 	mu      sync.Mutex
 	stepper *stepper.Stepper
--- a/internal/emulator/engine/server.go
+++ b/internal/emulator/engine/server.go
@@ -77,6 +77,7 @@
 	r.POST("/v1/orders", e.order)
 	r.POST("/v1/kv/export", e.exportBlocks)
 	r.POST("/v1/kv/import", e.importBlocks)
+	r.GET("/admin/counts", e.readCounts)
 	r.POST("/admin/faults", func(_ context.Context, c *app.RequestContext) {
 		e.inject(c, setSlowReads)
 	})
@@ -106,6 +107,7 @@
 		e.refuse(c, err)
 		return
 	}
+	e.accepted.Add(1)
 	defer e.abandon(body.RequestID, s)
 	if !e.stream(ctx, sse.NewWriter(c), body, s) {
 		runner.Drop(c)
@@ -195,6 +197,18 @@
 	}
 }
 
+// Counts counts what the engine has done since its start.
+type Counts struct {
+	// Accepted counts completion requests that took memory, also those that were cancelled later.
+	Accepted int64 `json:"accepted"`
+}
+
+func (e *Engine) readCounts(_ context.Context, c *app.RequestContext) {
+	runner.Respond(c, http.StatusOK, Counts{
+		Accepted: e.accepted.Load(),
+	})
+}
+
 func (e *Engine) deleteRequest(_ context.Context, c *app.RequestContext) {
 	if !e.cancel(c.Param("id")) {
 		runner.RespondError(c, http.StatusNotFound, "no such request")
