--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -93,6 +93,8 @@
 			"ended":    waitEnded,
 			"alive":    checkAlive,
 			"until":    waitUntil,
+			"changed":  waitChanged,
+			"code":     checkCode,
 		},
 		RequireExplicitExec: true,
 		Setup:               setUp,
--- a/acceptance/cell_test.go
+++ b/acceptance/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -280,3 +281,23 @@
 	}
 	ts.Fatalf("until %s: %v after %v: %s", strings.Join(args, " "), err, readyTimeout, &output)
 }
+
+// waitChanged repeats a request until its output differs from a file: changed FILE METHOD URL
+func waitChanged(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: changed FILE METHOD URL")
+	}
+	waitUntil(ts, true, append([]string{regexp.QuoteMeta(ts.ReadFile(args[0]))}, args[1:]...))
+}
+
+// checkCode runs a command that ends with an exit code: code CODE COMMAND...
+func checkCode(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: code CODE COMMAND...")
+	}
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if code, _ := strconv.Atoi(args[0]); !errors.As(err, &exit) || exit.ExitCode() != code {
+		ts.Fatalf("%s: got %v, want exit code %d", strings.Join(args[1:], " "), err, code)
+	}
+}
