Prefer targets that are predicted to finish in time

Cause: with a data centre out at the whole design load, short requests were still refused as unreachable, because the target with the earliest first token was at that moment too slow for their whole answer while another one was not.

Placement now knows the time left and puts targets that would be late last.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -145,6 +145,7 @@
 
 func (a *Admitter) decide(now time.Time, r Request) Action {
 	queues := a.model(r.Model)
+	r.Within = r.Deadline.Sub(now)
 	switch d := a.places.Place(now, r.Request).(type) {
 	case placer.Never:
 		return a.never(r, d)
@@ -320,6 +321,7 @@
 	r := head.request
 	slack := head.latestStart.Sub(r.Arrived)
 	r.MayWait = now.Sub(r.Arrived) >= time.Duration(a.settings.WaitShare*float64(slack))
+	r.Within = r.Deadline.Sub(now)
 	var estimate estimator.Estimate
 	class := placer.Long
 	decision := a.places.Place(now, r.Request)
--- a/pkg/placer/api.go
+++ b/pkg/placer/api.go
@@ -114,6 +114,8 @@
 	// MayWait allows a choice without free memory, for a reservation that waits at the owner.
 	// Without it a large request could be overtaken by smaller ones for ever.
 	MayWait bool
+	// Within is the time left; targets that are predicted to take longer come last. 0 means no limit.
+	Within time.Duration
 }
 
 // Tokens returns the memory that the request holds at its peak.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -86,6 +86,8 @@
 	long     bool
 	// waits marks a target that may take the request once memory is free.
 	waits bool
+	// late marks a target that is predicted to take longer than the time left.
+	late bool
 }
 
 // SetTarget adds a target or replaces its record.
@@ -355,7 +357,8 @@
 			best = i
 		}
 	}
-	if best < 0 {
+	// A target beside a long prefill is better than one that would be late.
+	if best < 0 || (second >= 0 && p.candidates[best].late && !p.candidates[second].late) {
 		best = second
 	}
 	if best < 0 && r.MayWait {
@@ -397,9 +400,12 @@
 	return best
 }
 
-// before orders candidates: those within the quota first, since a reservation costs a round trip
+// before orders candidates: those in time first, then those within the quota first, since a reservation costs a round trip
 // and uses what is kept back for large requests.
 func (c *candidate) before(other *candidate) bool {
+	if c.late != other.late {
+		return !c.late
+	}
 	if c.reserve != other.reserve {
 		return !c.reserve
 	}
@@ -463,6 +469,7 @@
 		QueueTokens: p.queueTokens(now, target, class),
 		WarmPercent: target.summary.WarmPercent,
 	})
+	rated.late = r.Within > 0 && rated.estimate.Total > r.Within
 	rated.score = rated.estimate.FirstToken() + 2*target.delay
 	if class == Long {
 		// The predicted time between tokens grows with the streams that a long prefill would slow.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -178,6 +178,24 @@
 	})
 }
 
+// Guards against a request placed where it would be late, although another target is in time.
+func TestWithin(t *testing.T) {
+	Convey("beside a long prefill rather than late", t, func() {
+		f := newFixture(2, 100_000)
+		f.update(start, func(s *placer.Summary) {
+			if s.Target == "t000" {
+				s.LongPrefills = 1
+			} else {
+				s.QueueTokens = 600_000
+			}
+		})
+		r := placer.Request{ID: "r", Model: "m", PromptTokens: 4_096, OutputTokens: 300}
+		So(f.Place(start, r).(placer.Chosen).Target, ShouldEqual, namer.Target("t001"))
+		r.Within = 12 * time.Second
+		So(f.Place(start, r).(placer.Chosen).Target, ShouldEqual, namer.Target("t000"))
+	})
+}
+
 // Guards against prompts over one target's memory that are placed on one, or refused although
 // enough targets could hold them.
 func TestGroup(t *testing.T) {
