--- a/internal/bencher/workload.go
+++ b/internal/bencher/workload.go
@@ -11,8 +11,8 @@
 )
 
 // The workload. One prompt in fifty is over 100,000 tokens, with a Pareto tail up to a million; the
-// others are log-normal. The mean prompt is about 6,500 tokens and the mean answer 300, which keeps
-// an engine at about a third of its prefill rate and two thirds of its memory at 3.67 requests/s.
+// others are log-normal. The mean prompt is about 6,000 tokens and the mean answer 300, which keeps
+// an engine at about a third of its prefill rate and half of its memory at 3.67 requests/s.
 const (
 	requestsPerEngine = 3.67
 	longShare         = 0.02
