--- a/acceptance/cell_test.go
+++ b/acceptance/cell_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -57,21 +58,26 @@
 		processes: map[string]*process{},
 	}
 	env.Values[cellKey{}] = c
-	env.Defer(c.end)
+	env.Defer(func() { c.end(os.Getenv("ACCEPTANCE_LOGS")) })
 	return nil
 }
 
-// end kills each process that still runs, by its id; SIGKILL also ends stopped ones.
-func (c *cell) end() {
+// end kills each process that still runs, by its id; SIGKILL also ends stopped ones. If logs names a directory, the
+// output of each process is written there.
+func (c *cell) end(logs string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, p := range c.processes {
+	for name, p := range c.processes {
 		select {
 		case <-p.done:
 		default:
 			_ = p.running.Process.Kill() // it may just have ended
 			<-p.done
 		}
+		if logs != "" {
+			file := fmt.Sprintf("%s-%d.log", name, p.running.Process.Pid)
+			_ = os.WriteFile(filepath.Join(logs, file), p.output.Bytes(), 0o600) // only for people who look for a fault
+		}
 	}
 }
 
