--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -51,6 +51,7 @@
 		"bergamothollow":    main(runProduct),
 		"load":              main(runLoad),
 		"send":              main(runSend),
+		"hostile":           main(runHostile),
 	})
 }
 
--- a/acceptance/cell_test.go
+++ b/acceptance/cell_test.go
@@ -183,6 +183,7 @@
 	example, err := os.ReadFile("../examples/bundle.yaml")
 	ts.Check(err)
 	draft := regexp.MustCompile(`requests_per_second: \d+`).ReplaceAll(example, []byte("requests_per_second: 1000"))
+	draft = bytes.Replace(draft, []byte("max_output_tokens: 4000"), []byte("max_output_tokens: 100000"), 1)
 	draft, _, _ = bytes.Cut(draft, []byte("orders:"))
 	ts.Check(os.WriteFile(ts.MkAbs("draft.yaml"), draft, 0o600))
 	for _, line := range []string{
