Write processes as text and leave out what does not change in heartbeats

Cause: the numbers heard of seven processes took 75 B each, and state, addresses and zeroes were repeated each second. A process is now written as instance/incarnation, the numbers heard are an object keyed by process, the state is left out while serving, data centre and caller address travel in the first three heartbeats to a process and in each fifteenth, and counts of zero and the usual validity of a quota are left out. Field names stay as they are.

--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -15,6 +15,10 @@
 	missedBeats = 1.5
 	// sendTimeKept is the age at which the sending time of a number is forgotten; quotas that echo it have expired.
 	sendTimeKept = 10 * time.Second
+	// introductions is the number of first messages to a process that say where this instance is.
+	introductions = 3
+	// introductionEvery repeats it, for a receiver that lost the first ones and cannot read the store.
+	introductionEvery = 15
 )
 
 // exchange is what this instance remembers of its messages with one peer.
@@ -23,6 +27,8 @@
 	called time.Time
 	// number is the last number that came from the peer itself.
 	number int64
+	// messages counts the heartbeats to the peer.
+	messages int
 }
 
 // exchanges holds the peers and the times of the own numbers.
@@ -123,3 +129,13 @@
 		beat.Receiver = to.Incarnation
 	}
 }
+
+// introduce adds what never changes to the first heartbeats to a process and to some later ones.
+func (c *Controller) introduce(beat *messenger.Heartbeat, to namer.Holder) {
+	x := c.exchanges.peer(to)
+	if x.messages < introductions || x.messages%introductionEvery == 0 {
+		beat.DataCentre = c.options.Settings.DataCentre
+		beat.CallerAddress = c.options.Settings.Advertise.Callers
+	}
+	x.messages++
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -87,7 +87,8 @@
 // beatTo returns the heartbeat for one peer, without quotas.
 func (c *Controller) beatTo(peer namer.Holder, number int64, now time.Time) messenger.Heartbeat {
 	beat := c.beat(number, now)
-	beat.Heard = c.elector.Heard(peer, now)
+	c.introduce(&beat, peer)
+	beat.Heard = heardMessage(c.elector.Heard(peer, now))
 	beat.Demand = c.demand(peer, now)
 	return beat
 }
@@ -109,15 +110,15 @@
 	version, _ := c.tracker.Departures()
 	beat := messenger.Heartbeat{
 		Sender:           c.options.Self,
-		State:            c.tracker.Self(),
-		DataCentre:       c.options.Settings.DataCentre,
-		CallerAddress:    c.options.Settings.Advertise.Callers,
 		BundleSequence:   c.follower.Sequence(),
 		DepartureVersion: version,
 		TableVersion:     c.elector.TableVersion(),
 		StoreAgeMS:       storeAgeMS(c.storeAge(now)),
 		Number:           number,
 	}
+	if state := c.tracker.Self(); state != tracker.StateServing {
+		beat.State = state
+	}
 	for _, t := range slices.Sorted(maps.Keys(c.owned)) {
 		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
 	}
@@ -205,31 +206,59 @@
 			Boot:          q.Boot,
 			MemoryTokens:  q.MemoryTokens,
 			PrefillTokens: q.PrefillTokens,
-			Valid:         time.Duration(q.ValidMS) * time.Millisecond,
+			Valid:         quotaValidity(q),
 		})
 	}
 	return result
 }
 
+func quotaValidity(q messenger.Quota) time.Duration {
+	if q.ValidMS == 0 {
+		return allocator.QuotaValid
+	}
+	return time.Duration(q.ValidMS) * time.Millisecond
+}
+
+func heardMessage(heard []tracker.Heard) map[namer.Holder]int64 {
+	message := make(map[namer.Holder]int64, len(heard))
+	for _, h := range heard {
+		message[h.Holder] = h.Number
+	}
+	return message
+}
+
+func heardReports(message map[namer.Holder]int64) []tracker.Heard {
+	reports := make([]tracker.Heard, 0, len(message))
+	for h, n := range message {
+		reports = append(reports, tracker.Heard{
+			Holder: h,
+			Number: n,
+		})
+	}
+	return reports
+}
+
 // takeBeat hands a peer's heartbeat to every part that learns from it.
 func (c *Controller) takeBeat(b messenger.Heartbeat, now time.Time) {
 	x := c.exchanges.peer(b.Sender)
 	x.number = max(x.number, b.Number)
+	heard := heardReports(b.Heard)
+	state := cmp.Or(b.State, tracker.StateServing)
 	c.trackerActions(c.tracker.ObserveBeat(tracker.Beat{
 		Sender:           b.Sender,
-		State:            b.State,
+		State:            state,
 		DataCentre:       b.DataCentre,
 		CallerAddress:    b.CallerAddress,
 		Number:           b.Number,
 		DepartureVersion: b.DepartureVersion,
-		Heard:            b.Heard,
+		Heard:            heard,
 	}, now), now)
 	c.electorActions(c.elector.Handle(elector.HeartbeatHeard{
 		From:         b.Sender,
-		State:        b.State,
+		State:        state,
 		Number:       b.Number,
 		TableVersion: b.TableVersion,
-		Heard:        b.Heard,
+		Heard:        heard,
 	}, now), now)
 	age := time.Duration(b.StoreAgeMS) * time.Millisecond
 	c.followerActions(c.follower.HearPeer(b.Sender.Instance, b.BundleSequence, age, now), now)
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -168,14 +168,17 @@
 				c.allocatorActions(id, []allocator.Action{a}, now)
 				continue
 			}
-			quotas = append(quotas, messenger.Quota{
+			quota := messenger.Quota{
 				Target:        grant.Target,
 				Epoch:         grant.Epoch,
 				Boot:          grant.Boot,
 				MemoryTokens:  grant.MemoryTokens,
 				PrefillTokens: grant.PrefillTokens,
-				ValidMS:       grant.Valid.Milliseconds(),
-			})
+			}
+			if grant.Valid != allocator.QuotaValid {
+				quota.ValidMS = grant.Valid.Milliseconds()
+			}
+			quotas = append(quotas, quota)
 		}
 	}
 	return quotas
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -18,20 +18,23 @@
 
 // Heartbeat is exchanged once a second by each pair of instances of the cell: one calls, the other answers in kind.
 type Heartbeat struct {
-	Sender           namer.Holder     `json:"sender"`
-	State            tracker.State    `json:"state"`
-	DataCentre       namer.DataCentre `json:"data_centre"`
-	CallerAddress    string           `json:"caller_address"`
-	BundleSequence   int64            `json:"bundle_sequence"`
-	DepartureVersion int64            `json:"departure_version"`
-	TableVersion     int64            `json:"table_version"`
+	Sender namer.Holder `json:"sender"`
+	// State is left out while the sender serves.
+	State tracker.State `json:"state,omitempty"`
+	// DataCentre and CallerAddress never change within an incarnation and travel in some messages only.
+	DataCentre       namer.DataCentre `json:"data_centre,omitempty"`
+	CallerAddress    string           `json:"caller_address,omitempty"`
+	BundleSequence   int64            `json:"bundle_sequence,omitempty"`
+	DepartureVersion int64            `json:"departure_version,omitempty"`
+	TableVersion     int64            `json:"table_version,omitempty"`
 	// StoreAgeMS is the time since the sender last heard the store; negative means never.
-	StoreAgeMS int64           `json:"store_age_ms"`
-	Number     int64           `json:"number"`
-	Heard      []tracker.Heard `json:"heard,omitempty"`
-	Targets    []TargetSummary `json:"targets,omitempty"`
-	Quotas     []Quota         `json:"quotas,omitempty"`
-	Demand     []Demand        `json:"demand,omitempty"`
+	StoreAgeMS int64 `json:"store_age_ms,omitempty"`
+	Number     int64 `json:"number"`
+	// Heard has the last number heard from other processes; the receiver's own number is an echo.
+	Heard   map[namer.Holder]int64 `json:"heard,omitempty"`
+	Targets []TargetSummary        `json:"targets,omitempty"`
+	Quotas  []Quota                `json:"quotas,omitempty"`
+	Demand  []Demand               `json:"demand,omitempty"`
 	// Echo is the receiver's number that the quotas of a call count from; an answer's count from its call.
 	Echo int64 `json:"echo,omitempty"`
 	// Receiver is the process that sent the number in Echo.
@@ -43,9 +46,9 @@
 	Target       namer.Target `json:"target"`
 	Epoch        namer.Epoch  `json:"epoch"`
 	FreeTokens   int          `json:"free_tokens"`
-	QueueTokens  int          `json:"queue_tokens"`
+	QueueTokens  int          `json:"queue_tokens,omitempty"`
 	WarmPercent  int          `json:"warm_percent"`
-	LongPrefills int          `json:"long_prefills"`
+	LongPrefills int          `json:"long_prefills,omitempty"`
 	Boot         string       `json:"boot,omitempty"`
 }
 
@@ -56,14 +59,15 @@
 	Boot          string       `json:"boot,omitempty"`
 	MemoryTokens  int          `json:"memory_tokens"`
 	PrefillTokens int          `json:"prefill_tokens"`
-	ValidMS       int64        `json:"valid_ms"`
+	// ValidMS is left out if it is the usual validity.
+	ValidMS int64 `json:"valid_ms,omitempty"`
 }
 
 // Demand tells an owner what the sender uses and would use.
 type Demand struct {
 	Target       namer.Target `json:"target"`
-	UsedTokens   int          `json:"used_tokens"`
-	WantedTokens int          `json:"wanted_tokens"`
+	UsedTokens   int          `json:"used_tokens,omitempty"`
+	WantedTokens int          `json:"wanted_tokens,omitempty"`
 }
 
 // ReserveRequest asks an owner for a one-off reservation.
--- a/pkg/namer/namer.go
+++ b/pkg/namer/namer.go
@@ -34,8 +34,8 @@
 
 // Holder identifies one process: an instance and its incarnation.
 type Holder struct {
-	Instance    Instance    `json:"instance"`
-	Incarnation Incarnation `json:"incarnation"`
+	Instance    Instance
+	Incarnation Incarnation
 }
 
 // String returns the form used on the wire, instance/incarnation.
@@ -43,6 +43,20 @@
 	return string(h.Instance) + "/" + string(h.Incarnation)
 }
 
+// MarshalText writes the form of String, or nothing for an unset holder.
+func (h Holder) MarshalText() ([]byte, error) {
+	if h.IsZero() {
+		return nil, nil
+	}
+	return []byte(h.String()), nil
+}
+
+// UnmarshalText reads the form written by MarshalText.
+func (h *Holder) UnmarshalText(text []byte) error {
+	*h = ParseHolder(string(text))
+	return nil
+}
+
 // IsZero reports whether the holder is unset.
 func (h Holder) IsZero() bool {
 	return h.Instance == "" && h.Incarnation == ""
--- a/pkg/tracker/members.go
+++ b/pkg/tracker/members.go
@@ -76,8 +76,8 @@
 	t.beatHeard = latest(t.beatHeard, now)
 	t.takeReports(b.Heard, now)
 	p := t.admit(b.Sender, now)
-	p.dataCentre = b.DataCentre
-	p.callerAddress = b.CallerAddress
+	p.dataCentre = cmp.Or(b.DataCentre, p.dataCentre)
+	p.callerAddress = cmp.Or(b.CallerAddress, p.callerAddress)
 	t.hearDeparture(p, b.DepartureVersion)
 	p.state = furthest(p.state, b.State)
 	t.hear(p, b.Number, now)
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -56,8 +56,9 @@
 
 // Beat is what a tracker takes from a heartbeat of a peer.
 type Beat struct {
-	Sender           namer.Holder
-	State            State
+	Sender namer.Holder
+	State  State
+	// DataCentre and CallerAddress are empty if the beat does not name them; the last known ones stay.
 	DataCentre       namer.DataCentre
 	CallerAddress    string
 	Number           int64
