Spread the numbers of third processes over three heartbeats

Cause: each heartbeat named the last number of every process of the cell. The receiver's own number is an echo, so a promise, and stays in each message; the others only tell a receiver that does not hear a process itself that it is alive, which matters after 13.2 s of silence. They now travel in turn, each once in three messages. A missing report cannot create authority, since only the successor's own echo does.

--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -19,6 +19,9 @@
 	introductions = 3
 	// introductionEvery repeats it, for a receiver that lost the first ones and cannot read the store.
 	introductionEvery = 15
+	// reportRounds is the number of messages over which the numbers of third processes are spread. They matter to a
+	// receiver that does not hear the process itself, and only when nothing is heard for 13.2 s.
+	reportRounds = 3
 )
 
 // exchange is what this instance remembers of its messages with one peer.
@@ -139,3 +142,16 @@
 	}
 	x.messages++
 }
+
+// reports returns the numbers heard to put into a message to a peer: always its own, whose echo may be a promise, and
+// a part of the others in turn.
+func (c *Controller) reports(to namer.Holder, now time.Time) map[namer.Holder]int64 {
+	round := c.exchanges.peer(to).messages % reportRounds
+	reports := map[namer.Holder]int64{}
+	for i, h := range c.elector.Heard(to, now) {
+		if h.Holder == to || i%reportRounds == round {
+			reports[h.Holder] = h.Number
+		}
+	}
+	return reports
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -88,7 +88,7 @@
 func (c *Controller) beatTo(peer namer.Holder, number int64, now time.Time) messenger.Heartbeat {
 	beat := c.beat(number, now)
 	c.introduce(&beat, peer)
-	beat.Heard = heardMessage(c.elector.Heard(peer, now))
+	beat.Heard = c.reports(peer, now)
 	beat.Demand = c.demand(peer, now)
 	return beat
 }
@@ -219,14 +219,6 @@
 	return time.Duration(q.ValidMS) * time.Millisecond
 }
 
-func heardMessage(heard []tracker.Heard) map[namer.Holder]int64 {
-	message := make(map[namer.Holder]int64, len(heard))
-	for _, h := range heard {
-		message[h.Holder] = h.Number
-	}
-	return message
-}
-
 func heardReports(message map[namer.Holder]int64) []tracker.Heard {
 	reports := make([]tracker.Heard, 0, len(message))
 	for h, n := range message {
