--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -15,6 +15,13 @@
 	missedBeats = 1.5
 	// sendTimeKept is the age at which the sending time of a number is forgotten; quotas that echo it have expired.
 	sendTimeKept = 10 * time.Second
+	// introductions is the number of first messages to a process that say where this instance is.
+	introductions = 3
+	// introductionEvery repeats it, for a receiver that lost the first ones and cannot read the store.
+	introductionEvery = 15
+	// reportRounds is the number of messages over which the numbers of third processes are spread. They matter to a
+	// receiver that does not hear the process itself, and only when nothing is heard for 13.2 s.
+	reportRounds = 3
 )
 
 // exchange is what this instance remembers of its messages with one peer.
@@ -23,6 +30,8 @@
 	called time.Time
 	// number is the last number that came from the peer itself.
 	number int64
+	// messages counts the heartbeats to the peer.
+	messages int
 }
 
 // exchanges holds the peers and the times of the own numbers.
@@ -123,3 +132,26 @@
 		beat.Receiver = to.Incarnation
 	}
 }
+
+// introduce adds what never changes to the first heartbeats to a process and to some later ones.
+func (c *Controller) introduce(beat *messenger.Heartbeat, to namer.Holder) {
+	x := c.exchanges.peer(to)
+	if x.messages < introductions || x.messages%introductionEvery == 0 {
+		beat.DataCentre = c.options.Settings.DataCentre
+		beat.CallerAddress = c.options.Settings.Advertise.Callers
+	}
+	x.messages++
+}
+
+// reports returns the numbers heard to put into a message to a peer: always its own, whose echo may be a promise, and
+// a part of the others in turn.
+func (c *Controller) reports(to namer.Holder, now time.Time) map[namer.Holder]int64 {
+	round := c.exchanges.peer(to).messages % reportRounds
+	reports := map[namer.Holder]int64{}
+	for i, h := range c.elector.Heard(to, now) {
+		if h.Holder == to || i%reportRounds == round {
+			reports[h.Holder] = h.Number
+		}
+	}
+	return reports
+}
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -73,7 +73,7 @@
 		KnownWarm: float64(last.WarmPercent) / 100,
 	}, now), now)
 	if a.Share == 0 {
-		c.lapsed[a.Target] = now
+		c.lapsed[a.Target] = true
 		c.orders.Disown(a.Target)
 		return
 	}
@@ -92,25 +92,11 @@
 	}
 }
 
-// allocatorKept is how long an allocator without authority is kept. Should authority return, it still knows the quotas
-// that it granted; a new one would not count them. It is longer than any quota is valid.
-const allocatorKept = time.Minute
-
-// forgetLapsed drops the allocators whose authority is long over.
-func (c *Controller) forgetLapsed(now time.Time) {
-	for id, since := range c.lapsed {
-		if now.Sub(since) > allocatorKept {
-			delete(c.lapsed, id)
-			delete(c.owned, id)
-		}
-	}
-}
-
 // holding returns the targets over which this instance has authority, sorted.
 func (c *Controller) holding() []namer.Target {
 	held := make([]namer.Target, 0, len(c.owned))
 	for id := range c.owned {
-		if _, lapsed := c.lapsed[id]; !lapsed {
+		if !c.lapsed[id] {
 			held = append(held, id)
 		}
 	}
@@ -200,14 +186,17 @@
 				c.allocatorActions(id, []allocator.Action{a}, now)
 				continue
 			}
-			quotas = append(quotas, messenger.Quota{
+			quota := messenger.Quota{
 				Target:        grant.Target,
 				Epoch:         grant.Epoch,
 				Boot:          grant.Boot,
 				MemoryTokens:  grant.MemoryTokens,
 				PrefillTokens: grant.PrefillTokens,
-				ValidMS:       grant.Valid.Milliseconds(),
-			})
+			}
+			if grant.Valid != allocator.QuotaValid {
+				quota.ValidMS = grant.Valid.Milliseconds()
+			}
+			quotas = append(quotas, quota)
 		}
 	}
 	return quotas
@@ -353,10 +342,14 @@
 
 // sawBoot notes the boot id that an engine reported; a new one means that its memory is empty.
 func (c *Controller) sawBoot(target namer.Target, boot string, now time.Time) {
-	if boot == "" || c.boots[target] == boot {
+	if boot == "" || c.boots[target] == boot || c.pastBoots[boot] {
 		return
 	}
 	known := c.boots[target] != ""
+	if known {
+		// Answers can arrive out of order: one from before the restart must not undo what came after it.
+		c.pastBoots[c.boots[target]] = true
+	}
 	c.boots[target] = boot
 	c.electorActions(c.elector.Handle(elector.BootSeen{
 		Target: target,
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -512,7 +513,7 @@
 		for _, a := range t.control.reserver.Handle(reserver.Start{
 			Request: g.Request,
 			Target:  grant.Target,
-			Boot:    grant.Boot,
+			Boot:    cmp.Or(t.control.boots[grant.Target], grant.Boot),
 		}, now) {
 			if _, denied := a.(reserver.StartDenied); denied {
 				return false
