Send the peer address in heartbeats, so that an instance started in a store outage can fetch the bundle

Cause: the peer address was only in member records, which such an instance cannot read. Ruled out: readiness (the peers answered heartbeats). Before: bundle_from_peers stayed at sequence 0.

--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -139,6 +139,7 @@
 	if x.messages < introductions || x.messages%introductionEvery == 0 {
 		beat.DataCentre = c.options.Settings.DataCentre
 		beat.CallerAddress = c.options.Settings.Advertise.Callers
+		beat.PeerAddress = c.options.Settings.Advertise.Peers
 	}
 	x.messages++
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -249,6 +249,7 @@
 		State:            state,
 		DataCentre:       b.DataCentre,
 		CallerAddress:    b.CallerAddress,
+		PeerAddress:      b.PeerAddress,
 		Number:           b.Number,
 		DepartureVersion: b.DepartureVersion,
 		Heard:            heard,
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -21,9 +21,10 @@
 	Sender namer.Holder `json:"sender"`
 	// State is left out while the sender serves.
 	State tracker.State `json:"state,omitempty"`
-	// DataCentre and CallerAddress never change within an incarnation and travel in some messages only.
+	// DataCentre and the addresses never change within an incarnation and travel in some messages only.
 	DataCentre       namer.DataCentre `json:"data_centre,omitempty"`
 	CallerAddress    string           `json:"caller_address,omitempty"`
+	PeerAddress      string           `json:"peer_address,omitempty"`
 	BundleSequence   int64            `json:"bundle_sequence,omitempty"`
 	DepartureVersion int64            `json:"departure_version,omitempty"`
 	TableVersion     int64            `json:"table_version,omitempty"`
--- a/pkg/tracker/members.go
+++ b/pkg/tracker/members.go
@@ -78,6 +78,7 @@
 	p := t.admit(b.Sender, now)
 	p.dataCentre = cmp.Or(b.DataCentre, p.dataCentre)
 	p.callerAddress = cmp.Or(b.CallerAddress, p.callerAddress)
+	p.peerAddress = cmp.Or(b.PeerAddress, p.peerAddress)
 	t.hearDeparture(p, b.DepartureVersion)
 	p.state = furthest(p.state, b.State)
 	t.hear(p, b.Number, now)
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -58,9 +58,10 @@
 type Beat struct {
 	Sender namer.Holder
 	State  State
-	// DataCentre and CallerAddress are empty if the beat does not name them; the last known ones stay.
+	// DataCentre and the addresses are empty if the beat does not name them; the last known ones stay.
 	DataCentre       namer.DataCentre
 	CallerAddress    string
+	PeerAddress      string
 	Number           int64
 	DepartureVersion int64
 	Heard            []Heard
