Send quotas, summaries and demand when they change or are due

Cause: each heartbeat carried the summary and quota of each target. Quotas are now renewed after 2 s, or at once when the receiver wants memory or a target was taken over; they stay valid 6 s, and 5 s at least when they come in a call, so one message may be lost. Summaries are repeated after 5 s or when free memory or the queue changed by more than 2,048 tokens and 5%; demand after 3 s, 15 s if nothing is used, or at once when memory is wanted. A call that was not answered makes all of it due again. Ruled out: a threshold for quotas, since the owner charges each grant it makes.

--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -22,6 +24,18 @@
 	// reportRounds is the number of messages over which the numbers of third processes are spread. They matter to a
 	// receiver that does not hear the process itself, and only when nothing is heard for 13.2 s.
 	reportRounds = 3
+	// quotaRenewal leaves room for one lost message: the renewal after that comes within 5 s, and a quota in a call
+	// is valid for at least that long.
+	quotaRenewal = 2 * time.Second
+	// summaryRenewal and demandRenewal repeat what has not changed, since an answer may be lost unnoticed.
+	summaryRenewal = 5 * time.Second
+	demandRenewal  = 3 * time.Second
+	// idleRenewal repeats that nothing is used.
+	idleRenewal = 15 * time.Second
+	// changeTokens is the change of a queue or of used memory that is worth a message: one step of chunked prefill.
+	changeTokens = 2_048
+	// changeShare is the change of free or used memory, as a part of the last value told, that is worth a message.
+	changeShare = 0.05
 )
 
 // exchange is what this instance remembers of its messages with one peer.
@@ -32,6 +46,28 @@
 	number int64
 	// messages counts the heartbeats to the peer.
 	messages int
+	// quotas is when the peer was last given quotas.
+	quotas time.Time
+	// summaries and demand are what the peer was last told.
+	summaries map[namer.Target]toldSummary
+	demand    map[namer.Target]toldDemand
+}
+
+type toldSummary struct {
+	summary messenger.TargetSummary
+	at      time.Time
+}
+
+type toldDemand struct {
+	used int
+	at   time.Time
+}
+
+// resend forgets what the peer was told, so that the next heartbeat tells it again.
+func (x *exchange) resend() {
+	x.quotas = time.Time{}
+	clear(x.summaries)
+	clear(x.demand)
 }
 
 // exchanges holds the peers and the times of the own numbers.
@@ -50,12 +86,22 @@
 func (e *exchanges) peer(h namer.Holder) *exchange {
 	x, ok := e.peers[h]
 	if !ok {
-		x = &exchange{}
+		x = &exchange{
+			summaries: map[namer.Target]toldSummary{},
+			demand:    map[namer.Target]toldDemand{},
+		}
 		e.peers[h] = x
 	}
 	return x
 }
 
+// renewQuotas makes the quotas of all peers due, for a target that this instance has begun to allocate.
+func (e *exchanges) renewQuotas() {
+	for _, x := range e.peers {
+		x.quotas = time.Time{}
+	}
+}
+
 // noteSent remembers when a number was sent, since quotas that echo it count from then.
 func (e *exchanges) noteSent(number int64, now time.Time) {
 	e.sent[number] = now
@@ -126,7 +172,7 @@
 	if number == 0 {
 		return
 	}
-	beat.Quotas = c.quotasFor(to, now)
+	beat.Quotas = c.dueQuotas(to, now)
 	if len(beat.Quotas) > 0 {
 		beat.Echo = number
 		beat.Receiver = to.Incarnation
@@ -155,3 +201,72 @@
 	}
 	return reports
 }
+
+// dueQuotas returns the quotas for a peer if the last ones are due for renewal or the peer has asked for more.
+func (c *Controller) dueQuotas(to namer.Holder, now time.Time) []messenger.Quota {
+	x := c.exchanges.peer(to)
+	if len(c.owned) == 0 || now.Sub(x.quotas) < quotaRenewal {
+		return nil
+	}
+	x.quotas = now
+	return c.quotasFor(to, now)
+}
+
+// changedSummaries returns the summaries of owned targets that differ from what the peer was told, or are due.
+func (c *Controller) changedSummaries(to namer.Holder, now time.Time) []messenger.TargetSummary {
+	x := c.exchanges.peer(to)
+	var changed []messenger.TargetSummary
+	for _, id := range slices.Sorted(maps.Keys(c.owned)) {
+		s := summaryMessage(c.owned[id].Summary(now))
+		told, ok := x.summaries[id]
+		if ok && now.Sub(told.at) < summaryRenewal && !summaryChanged(told.summary, s) {
+			continue
+		}
+		x.summaries[id] = toldSummary{
+			summary: s,
+			at:      now,
+		}
+		changed = append(changed, s)
+	}
+	for id := range x.summaries {
+		if _, own := c.owned[id]; !own {
+			delete(x.summaries, id)
+		}
+	}
+	return changed
+}
+
+func summaryChanged(a, b messenger.TargetSummary) bool {
+	if a.Epoch != b.Epoch || a.Boot != b.Boot || a.WarmPercent != b.WarmPercent || a.LongPrefills != b.LongPrefills {
+		return true
+	}
+	return worthTelling(a.FreeTokens, b.FreeTokens) || worthTelling(a.QueueTokens, b.QueueTokens)
+}
+
+func worthTelling(told, value int) bool {
+	change := max(told-value, value-told)
+	return change > changeTokens && float64(change) > float64(told)*changeShare
+}
+
+// changedDemand returns the demand on targets of a peer that differs from what it was told. What is wanted is told at
+// once, since the reserver reports it only once.
+func (c *Controller) changedDemand(to namer.Holder, now time.Time) []messenger.Demand {
+	x := c.exchanges.peer(to)
+	var changed []messenger.Demand
+	for _, d := range c.demand(to, now) {
+		told := x.demand[d.Target]
+		renewal := demandRenewal
+		if d.UsedTokens == 0 && told.used == 0 {
+			renewal = idleRenewal
+		}
+		if d.WantedTokens == 0 && now.Sub(told.at) < renewal && !worthTelling(told.used, d.UsedTokens) {
+			continue
+		}
+		x.demand[d.Target] = toldDemand{
+			used: d.UsedTokens,
+			at:   now,
+		}
+		changed = append(changed, d)
+	}
+	return changed
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -89,7 +89,8 @@
 	beat := c.beat(number, now)
 	c.introduce(&beat, peer)
 	beat.Heard = c.reports(peer, now)
-	beat.Demand = c.demand(peer, now)
+	beat.Targets = c.changedSummaries(peer, now)
+	beat.Demand = c.changedDemand(peer, now)
 	return beat
 }
 
@@ -119,9 +120,6 @@
 	if state := c.tracker.Self(); state != tracker.StateServing {
 		beat.State = state
 	}
-	for _, t := range slices.Sorted(maps.Keys(c.owned)) {
-		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
-	}
 	return beat
 }
 
@@ -163,7 +161,7 @@
 		c.takeBeat(m.beat, now)
 		c.takeCallQuotas(m.beat, now)
 		answer := c.beatTo(m.beat.Sender, c.nextNumber(now), now)
-		answer.Quotas = c.quotasFor(m.beat.Sender, now)
+		answer.Quotas = c.dueQuotas(m.beat.Sender, now)
 		m.reply <- answer
 	case beatAnswered:
 		c.takeBeatAnswer(m, now)
@@ -190,6 +188,8 @@
 
 func (c *Controller) takeBeatAnswer(m beatAnswered, now time.Time) {
 	if m.err != nil {
+		// Whatever the call carried may be lost.
+		c.exchanges.peer(m.peer.Holder).resend()
 		c.options.Log.Debug().Str("peer", m.peer.Holder.String()).Err(m.err).Msg("controller: heartbeat not answered")
 		return
 	}
@@ -270,6 +270,9 @@
 
 func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
 	for _, d := range b.Demand {
+		if d.WantedTokens > 0 {
+			c.exchanges.peer(b.Sender).quotas = time.Time{}
+		}
 		c.toAllocator(d.Target, allocator.DemandReported{
 			From:         b.Sender,
 			UsedTokens:   d.UsedTokens,
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -61,6 +61,7 @@
 		}
 		owned = allocator.New(c.allocatorOptions(a.Target))
 		c.owned[a.Target] = owned
+		c.exchanges.renewQuotas()
 		c.listEngine(a.Target, now)
 	}
 	last := c.traffic.summary(a.Target)
