--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -95,8 +95,8 @@
 	beat := c.beat(number, now)
 	c.introduce(&beat, peer)
 	beat.Heard = c.reports(peer, now)
-	beat.Demand = c.demand(peer, now)
-	beat.Adopted = c.reserver.Adopted(peer)
+	beat.Targets = c.changedSummaries(peer, now)
+	c.addDemand(&beat, peer, now)
 	return beat
 }
 
@@ -126,9 +126,6 @@
 	if state := c.tracker.Self(); state != tracker.StateServing {
 		beat.State = state
 	}
-	for _, t := range c.holding() {
-		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
-	}
 	return beat
 }
 
@@ -171,7 +168,7 @@
 		c.takeCallQuotas(m.beat, now)
 		number := c.nextNumber(now)
 		answer := c.beatTo(m.beat.Sender, number, now)
-		answer.Quotas = c.quotasFor(m.beat.Sender, number, now)
+		answer.Quotas = c.dueQuotas(m.beat.Sender, number, now)
 		m.reply <- answer
 	case beatAnswered:
 		c.takeBeatAnswer(m, now)
@@ -198,6 +195,8 @@
 
 func (c *Controller) takeBeatAnswer(m beatAnswered, now time.Time) {
 	if m.err != nil {
+		// Whatever the call carried may be lost.
+		c.exchanges.peer(m.peer.Holder).resend()
 		c.options.Log.Debug().Str("peer", m.peer.Holder.String()).Err(m.err).Msg("controller: heartbeat not answered")
 		return
 	}
@@ -277,18 +276,24 @@
 	c.sawBoot(s.Target, s.Boot, now)
 }
 
-// takeDemand hands each allocator what the sender reports; a target that it does not mention is not in use there.
+// takeDemand hands the allocators what the sender reports. In a report that names adopted quotas, a target that is not
+// mentioned is not in use.
 func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
 	demand := map[namer.Target]messenger.Demand{}
 	for _, d := range b.Demand {
 		demand[d.Target] = d
+		if d.WantedTokens > 0 {
+			c.exchanges.peer(b.Sender).quotas = time.Time{}
+		}
 	}
 	for id := range c.owned {
-		c.toAllocator(id, allocator.DemandReported{
-			From:         b.Sender,
-			UsedTokens:   demand[id].UsedTokens,
-			WantedTokens: demand[id].WantedTokens,
-			Adopted:      b.Adopted,
-		}, now)
+		if d, told := demand[id]; told || b.Adopted != 0 {
+			c.toAllocator(id, allocator.DemandReported{
+				From:         b.Sender,
+				UsedTokens:   d.UsedTokens,
+				WantedTokens: d.WantedTokens,
+				Adopted:      b.Adopted,
+			}, now)
+		}
 	}
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -62,6 +62,7 @@
 		}
 		owned = allocator.New(c.allocatorOptions(a.Target))
 		c.owned[a.Target] = owned
+		c.exchanges.renewQuotas()
 		c.listEngine(a.Target, now)
 	}
 	last := c.traffic.summary(a.Target)
@@ -414,6 +415,14 @@
 		PrefillTokens: m.request.PrefillTokens,
 		Wait:          time.Duration(m.request.WaitMS) * time.Millisecond,
 	}, now), now)
+	c.shrinkQuotas(m.request.Target, now)
+}
+
+// shrinkQuotas makes the smaller quotas beside a reservation that waits for memory known with the next heartbeats.
+func (c *Controller) shrinkQuotas(target namer.Target, now time.Time) {
+	if c.owned[target].Summary(now).WaitingForReserve > 0 {
+		c.exchanges.renewQuotas()
+	}
 }
 
 // answerReserve hands an allocator's decision to the peer that waits for it, or to the own reserver.
@@ -492,6 +501,9 @@
 			PrefillTokens: a.PrefillTokens,
 			Wait:          a.Wait,
 		}, now)
+		if c.owned[a.Target] != nil {
+			c.shrinkQuotas(a.Target, now)
+		}
 		return
 	}
 	address := c.holderAddress(a.Owner, now)
