--- a/internal/cmd/serve/starter.go
+++ b/internal/cmd/serve/starter.go
@@ -23,6 +23,7 @@
 	"bergamothollow.example/bergamothollow/internal/messenger"
 	"bergamothollow.example/bergamothollow/internal/server"
 	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/holder"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/storer"
@@ -104,7 +105,7 @@
 			Controller: i.control,
 		}, i.traffic)
 	}()
-	go func() { failed <- i.server.Run() }()
+	go func() { failed <- i.server.Run(ctx) }()
 	i.logger.Info().Str("callers", settings.Listen.Callers).Str("peers", settings.Listen.Peers).Msg("serve: listening")
 	select {
 	case err := <-failed:
@@ -237,7 +238,12 @@
 		NewID:       newRequestID,
 		BodyBytes:   i.settings.Bounds.BodyBytes,
 		HeaderBytes: i.settings.Bounds.HeaderBytes,
-		ReaderStall: i.settings.Times.ReaderStall,
+		Held: holder.Bounds{
+			Request:  i.settings.Bounds.HeldBytesPerRequest,
+			Customer: i.settings.Bounds.HeldBytesPerCustomer,
+			Process:  i.settings.Bounds.HeldBytesPerProcess,
+			Unread:   i.settings.Times.ReaderStall,
+		},
 	})
 	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/controller"
 	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/holder"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/timer"
@@ -35,12 +36,13 @@
 	NewID       func() namer.Request
 	BodyBytes   int
 	HeaderBytes int
-	ReaderStall time.Duration
+	Held        holder.Bounds
 }
 
 // Server answers callers.
 type Server struct {
 	options Options
+	meter   *meter
 	hertz   *server.Hertz
 }
 
@@ -55,7 +57,7 @@
 		server.WithMaxHeaderBytes(o.HeaderBytes),
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
-		server.WithWriteTimeout(o.ReaderStall),
+		server.WithWriteTimeout(o.Held.Unread),
 		server.WithReadTimeout(bodyTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
@@ -63,6 +65,7 @@
 	)
 	s := &Server{
 		options: o,
+		meter:   newMeter(o.Held, o.Clock, o.Metrics.HeldBytes),
 		hertz:   h,
 	}
 	h.POST("/v1/completions", s.completions)
@@ -78,7 +81,8 @@
 const idleTimeout = 2 * time.Minute
 
 // Run answers callers until Shutdown is called.
-func (s *Server) Run() error {
+func (s *Server) Run(ctx context.Context) error {
+	go s.meter.run(ctx)
 	return s.hertz.Run()
 }
 
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -9,17 +9,19 @@
 
 	"bergamothollow.example/bergamothollow/internal/controller"
 	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 )
 
-// streamBuffer is the number of tokens read ahead of the caller before reading from the engine stops.
-const streamBuffer = 256
+// streamBuffer is the number of tokens read ahead of the caller at most; the meter bounds their bytes.
+const streamBuffer = 4096
 
 // session serves one admitted completion over one or more attempts.
 type session struct {
 	server  *Server
 	request *controller.Request
 	output  sink
+	flow    *flow
 	// next is the index of the token that the caller needs next.
 	next int
 	// started, first and received describe the current attempt.
@@ -84,7 +86,7 @@
 // again decides whether a failed attempt is followed by another, and returns its placement.
 func (s *session) again(ctx context.Context, placement *controller.Placement, cause error) (*controller.Placement, error) {
 	var caller *callerError
-	if errors.As(cause, &caller) || errors.Is(ctx.Err(), context.Canceled) {
+	if errors.As(cause, &caller) || errors.Is(cause, errTooSlow) || errors.Is(ctx.Err(), context.Canceled) {
 		return nil, s.callerRefusal(cause)
 	}
 	if !s.server.options.Clock.Now().Before(s.request.Deadline) {
@@ -152,7 +154,12 @@
 	}
 	err := s.awaitHeld(ctx, placement, held, done)
 	if err == nil {
+		id := namer.Request(placement.Attempt)
+		s.flow = s.server.meter.open(id, s.request.Customer)
 		s.start(ctx, placement, 0, done, func(token streamer.Token) error {
+			if err := s.server.meter.add(ctx, id, heldBytes(token)); err != nil {
+				return err
+			}
 			select {
 			case tokens <- token:
 				return nil
@@ -161,6 +168,7 @@
 			}
 		})
 		err = s.forward(ctx, placement, tokens, done)
+		s.server.meter.close(id)
 	}
 	if err != nil || len(placement.Parts) > 1 {
 		s.cancelParts(placement)
@@ -239,6 +247,10 @@
 				return err
 			}
 			within = placement.TokenWithin
+		case <-s.flow.ended:
+			return &callerError{
+				cause: errTooSlow,
+			}
 		case err := <-done:
 			return s.drain(placement, tokens, err)
 		case <-ctx.Done():
@@ -276,6 +288,7 @@
 func (s *session) deliver(placement *controller.Placement, token streamer.Token) error {
 	if token.RequestID != placement.Attempt || token.TokenIndex != s.next {
 		s.server.options.Metrics.LateEvents.Inc()
+		s.server.meter.read(namer.Request(placement.Attempt), heldBytes(token))
 		return nil
 	}
 	s.observe(placement)
@@ -284,10 +297,15 @@
 			cause: err,
 		}
 	}
+	s.server.meter.read(namer.Request(placement.Attempt), heldBytes(token))
 	s.next++
 	return nil
 }
 
+func heldBytes(token streamer.Token) int {
+	return len(token.Text) + len(token.RequestID) + tokenOverhead
+}
+
 // observe takes the times that predictions are learned from.
 func (s *session) observe(placement *controller.Placement) {
 	s.received++
