Place nothing for 2 s on a target that cannot be reached

Cause: a failed connection excluded the target for that request only, so each new request tried the dead engine first and its repetition used up the retry budget; owners keep giving out quota of an engine that does not answer. Ruled out: running streams alone.

--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -48,6 +48,10 @@
 	uncached int
 }
 
+// unreachablePause is how long an instance places nothing on a target after it could not connect to it. Without a pause
+// each new request would try a dead target first, and their repetitions would use up the retry budget.
+const unreachablePause = 2 * time.Second
+
 // traffic connects the decisions about requests: admission, placement, reservation and retries.
 type traffic struct {
 	control   *Controller
@@ -63,7 +67,9 @@
 	summaries map[namer.Target]messenger.TargetSummary
 	caches    map[namer.Target]int64
 	waiting   map[reserveKey]chan<- messenger.ReserveAnswer
-	now       time.Time
+	// unreachable has the time of the last failed connection to a target.
+	unreachable map[namer.Target]time.Time
+	now         time.Time
 }
 
 func newTraffic(c *Controller) *traffic {
@@ -78,6 +84,8 @@
 		summaries: map[namer.Target]messenger.TargetSummary{},
 		caches:    map[namer.Target]int64{},
 		waiting:   map[reserveKey]chan<- messenger.ReserveAnswer{},
+
+		unreachable: map[namer.Target]time.Time{},
 	}
 	t.placer = placer.New(placer.DefaultSettings(), t.estimator, t, t.distance, c.options.Random)
 	admission := admitter.DefaultSettings()
@@ -254,6 +262,7 @@
 		}
 		return
 	}
+	t.noteUnreachable(m.failure, now)
 	if err := t.check(m, now); err != nil {
 		m.reply <- admission{
 			err: err,
@@ -380,6 +389,9 @@
 		Arrived:  r.Received,
 		Deadline: r.Deadline,
 	}
+	if len(t.unreachable) > 0 {
+		asked.Exclude = t.avoided(r.Model, t.now)
+	}
 	if f := a.admission.failure; f != nil {
 		for _, p := range f.Placement.Parts {
 			asked.Exclude = append(asked.Exclude, p.Target)
@@ -388,6 +400,35 @@
 	return asked
 }
 
+// noteUnreachable remembers a target to which no connection could be opened. In a group it is not known which one.
+func (t *traffic) noteUnreachable(f *Failure, now time.Time) {
+	if f != nil && f.Reason == refuser.ConnectFailed && len(f.Placement.Parts) == 1 {
+		t.unreachable[f.Placement.Parts[0].Target] = now
+	}
+}
+
+// avoided returns the model's targets that could not be reached just now, or none if there are no others: the fault may
+// then be this instance's.
+func (t *traffic) avoided(model namer.Model, now time.Time) []namer.Target {
+	var avoided []namer.Target
+	others := false
+	for _, target := range t.control.tracker.Targets() {
+		if target.Model != model {
+			continue
+		}
+		if failed, ok := t.unreachable[target.ID]; ok && now.Sub(failed) < unreachablePause {
+			avoided = append(avoided, target.ID)
+			continue
+		}
+		delete(t.unreachable, target.ID)
+		others = true
+	}
+	if !others {
+		return nil
+	}
+	return avoided
+}
+
 func prefixNumbers(hashes []string) []uint64 {
 	numbers := make([]uint64, 0, len(hashes))
 	for _, h := range hashes {
