--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,8 @@
 	answers   uint64
 	exited    bool
 	accepting bool
+	// departureRead is whether the store has answered what is out of service.
+	departureRead bool
 }
 
 // New returns a controller that works until the context ends; Run starts it.
--- a/internal/controller/distribution.go
+++ b/internal/controller/distribution.go
@@ -53,6 +53,7 @@
 		return
 	}
 	c.heardStore(now)
+	c.departureRead = true
 	if m.version == 0 {
 		return
 	}
--- a/internal/controller/schedule.go
+++ b/internal/controller/schedule.go
@@ -14,6 +14,9 @@
 	instancesInterval = 5 * time.Second
 	loadInterval      = time.Second
 	cacheInterval     = time.Second
+	// departureInterval is how often an instance asks again for departures when there were none: it learns of a change
+	// from the watchers of its cell.
+	departureInterval = 30 * time.Second
 	// targetsFirst is the interval until the first list of targets has come.
 	targetsFirst = 500 * time.Millisecond
 )
@@ -59,7 +62,7 @@
 	if due(&s.instances, now, instancesInterval) {
 		c.readInstances(now)
 	}
-	if version, _ := c.tracker.Departures(); version == 0 && due(&s.departure, now, membersInterval) {
+	if version, _ := c.tracker.Departures(); version == 0 && due(&s.departure, now, c.departureInterval()) {
 		c.readDeparture()
 	}
 	if due(&s.reconcile, now, times.Reconcile) {
@@ -80,6 +83,13 @@
 	return targetsInterval
 }
 
+func (c *Controller) departureInterval() time.Duration {
+	if c.departureRead {
+		return departureInterval
+	}
+	return membersInterval
+}
+
 func (c *Controller) storeTimeout() time.Duration {
 	return c.options.Settings.Platform.Timeout
 }
