--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"net/http"
 	"time"
@@ -287,11 +289,11 @@
 		})
 	}
 	c.toAllocator(m.target, allocator.Listed{
-		Boot:      m.list.BootID,
+		Boot:      shortBoot(m.list.BootID),
 		Requested: m.requested,
 		Requests:  running,
 	}, now)
-	c.sawBoot(m.target, m.list.BootID, now)
+	c.sawBoot(m.target, shortBoot(m.list.BootID), now)
 	c.loseHolders(m.target, running, now)
 }
 
@@ -316,12 +318,21 @@
 		return
 	}
 	c.toAllocator(m.target, allocator.LoadReported{
-		Boot:        m.load.BootID,
+		Boot:        shortBoot(m.load.BootID),
 		Age:         time.Duration(m.load.AgeMS) * time.Millisecond,
 		Cold:        m.load.Cold,
 		QueueTokens: m.load.QueueTokens,
 	}, now)
-	c.sawBoot(m.target, m.load.BootID, now)
+	c.sawBoot(m.target, shortBoot(m.load.BootID), now)
+}
+
+// shortBoot shortens the boot id of an engine for messages: 64 bits of a hash tell one boot from the next.
+func shortBoot(id string) string {
+	if id == "" {
+		return ""
+	}
+	digest := sha256.Sum256([]byte(id))
+	return base64.RawURLEncoding.EncodeToString(digest[:8])
 }
 
 // sawBoot notes the boot id that an engine reported; a new one means that its memory is empty.
