--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,6 +84,8 @@
 	exiting   bool
 	exited    bool
 	accepting bool
+	// departureRead is whether the store has answered what is out of service.
+	departureRead bool
 }
 
 // New returns a controller that works until the context ends; Run starts it.
