Pack the content of bundles

Cause: a bundle of 20,000 customers is 1,930,034 bytes as a stored value, over the store's limit of 1 MB. Ruled out: splitting it over several objects, which could be read half old and half new. After: see the benchmark LargeBundle of pkg/roller.

--- a/pkg/roller/bundle.go
+++ b/pkg/roller/bundle.go
@@ -76,13 +76,13 @@
 
 // Signed is a bundle as stored and sent: its canonical bytes and who signed them.
 type Signed struct {
-	// Content is the canonical JSON of the bundle.
-	Content   []byte `json:"content"`
-	Sequence  int64  `json:"sequence"`
-	Digest    string `json:"digest"`
-	Author    string `json:"author"`
-	Approver  string `json:"approver"`
-	Signature []byte `json:"signature"`
+	// Content is the canonical JSON of the bundle; it is packed when stored or sent.
+	Content   Compressed `json:"content"`
+	Sequence  int64      `json:"sequence"`
+	Digest    string     `json:"digest"`
+	Author    string     `json:"author"`
+	Approver  string     `json:"approver"`
+	Signature []byte     `json:"signature"`
 }
 
 // Pointer names the bundle in force.
