Weight observed token intervals by the tokens they cover

Cause: since the estimator learns intervals from every 16 tokens, its weight was 0.01 per observation. The controller observes once per finished stream; with that weight a slow start needs about a hundred streams to be forgotten.

An observation now says over how many tokens it was made: 80 tokens or a whole stream count with 0.05, 16 tokens with 0.01 as before, so the benchmark's policy is unchanged.

--- a/internal/bencher/instance.go
+++ b/internal/bencher/instance.go
@@ -453,8 +453,9 @@
 		return
 	}
 	in.estimates.Observe(estimator.Observation{
-		Target:        d.Target,
-		TokenInterval: in.now().Sub(c.observed) / observeTokens,
+		Target:         d.Target,
+		TokenInterval:  in.now().Sub(c.observed) / observeTokens,
+		IntervalTokens: observeTokens,
 	})
 	c.observed = in.now()
 }
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -10,8 +10,10 @@
 type Settings struct {
 	// Weight is the share of one observation in the learned value.
 	Weight float64
-	// IntervalWeight is the same for the time between tokens. It is smaller, since streams report it
-	// many times and a prediction covers the whole stream, not the next few steps.
+	// IntervalTokens is the number of tokens over which one observation of the time between tokens
+	// counts with IntervalWeight. An observation over fewer tokens counts less: a prediction covers a
+	// whole stream, not the next few steps.
+	IntervalTokens int
 	IntervalWeight float64
 	// MinSamples is the number of observations before a learned rate replaces the record's.
 	MinSamples int
@@ -28,7 +30,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Weight:           0.05,
-		IntervalWeight:   0.01,
+		IntervalTokens:   80,
+		IntervalWeight:   0.05,
 		MinSamples:       5,
 		MinPrefillTokens: 4_000,
 		MaxColdFactor:    10,
@@ -85,6 +88,9 @@
 	// Prefill is the time from sending the request to its first token.
 	Prefill       time.Duration
 	TokenInterval time.Duration
+	// IntervalTokens is the number of tokens that TokenInterval was measured over; 0 means a whole
+	// stream, which counts with the full weight.
+	IntervalTokens int
 }
 
 // Estimator keeps the learned rates.
@@ -176,8 +182,12 @@
 		}
 	}
 	if o.TokenInterval > 0 {
-		known.rates.interval.add(o.TokenInterval.Seconds(), e.settings.IntervalWeight)
-		known.model.interval.add(o.TokenInterval.Seconds(), e.settings.IntervalWeight)
+		weight := e.settings.IntervalWeight
+		if o.IntervalTokens > 0 {
+			weight *= min(1, float64(o.IntervalTokens)/float64(e.settings.IntervalTokens))
+		}
+		known.rates.interval.add(o.TokenInterval.Seconds(), weight)
+		known.model.interval.add(o.TokenInterval.Seconds(), weight)
 	}
 }
 
--- a/pkg/estimator/estimator_test.go
+++ b/pkg/estimator/estimator_test.go
@@ -78,6 +78,28 @@
 	})
 }
 
+// Guards against a few slow steps that count as much as a whole slow stream.
+func TestIntervalWeight(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		tokens int
+		want   time.Duration
+	}{
+		{"whole stream", 0, 21 * time.Millisecond},
+		{"a fifth of the tokens", 16, 20200 * time.Microsecond},
+		{"more tokens than a full weight needs", 800, 21 * time.Millisecond},
+	} {
+		Convey(c.name, t, func() {
+			e := fixture()
+			for range 200 {
+				e.Observe(estimator.Observation{Target: "a", TokenInterval: 20 * time.Millisecond})
+			}
+			e.Observe(estimator.Observation{Target: "a", TokenInterval: 40 * time.Millisecond, IntervalTokens: c.tokens})
+			So(e.TokenInterval("a").Round(time.Microsecond), ShouldEqual, c.want)
+		})
+	}
+}
+
 // Guards against estimates in which a longer prompt or a longer queue costs less.
 func TestEstimateGrows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
