--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"time"
@@ -132,9 +132,8 @@
 // interval carries the heartbeats of both.
 func callsFirst(self, peer namer.Instance) bool {
 	low, high := min(self, peer), max(self, peer)
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(string(low) + "/" + string(high)))
-	return (self == low) == (hash.Sum32()>>16&1 == 0)
+	digest := sha256.Sum256([]byte(string(low) + "/" + string(high)))
+	return (self == low) == (digest[0]&1 == 0)
 }
 
 // mustCall reports whether this instance calls the peer now: it is its turn, or the peer's call is missing.
--- /dev/null
+++ b/internal/controller/exchange_test.go
@@ -0,0 +1,78 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"bergamothollow.example/bergamothollow/internal/messenger"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// TestCallsFirst guards against pairs in which neither side or both sides call, and against one instance calling all.
+func TestCallsFirst(t *testing.T) {
+	Convey("Exactly one side of each pair calls, and no instance calls all others", t, func() {
+		names := make([]namer.Instance, 8)
+		for i := range names {
+			names[i] = namer.Instance(fmt.Sprintf("entry-%d", i))
+		}
+		for _, a := range names {
+			calls := 0
+			for _, b := range names {
+				if a == b {
+					continue
+				}
+				So(callsFirst(a, b), ShouldNotEqual, callsFirst(b, a))
+				if callsFirst(a, b) {
+					calls++
+				}
+			}
+			So(calls, ShouldBeBetween, 0, 7)
+		}
+	})
+}
+
+// TestWorthTelling guards against summaries that hide a change of load or of the engine's process.
+func TestWorthTelling(t *testing.T) {
+	told := messenger.TargetSummary{Target: "t", Epoch: 3, Boot: "b", FreeTokens: 200_000, QueueTokens: 0, WarmPercent: 100}
+	for _, test := range []struct {
+		name   string
+		change func(*messenger.TargetSummary)
+		want   bool
+	}{
+		{"the same", func(*messenger.TargetSummary) {}, false},
+		{"free memory by 5%", func(s *messenger.TargetSummary) { s.FreeTokens = 190_000 }, false},
+		{"free memory by 6%", func(s *messenger.TargetSummary) { s.FreeTokens = 188_000 }, true},
+		{"a queue of one chunk", func(s *messenger.TargetSummary) { s.QueueTokens = 2_048 }, false},
+		{"a queue of more", func(s *messenger.TargetSummary) { s.QueueTokens = 2_049 }, true},
+		{"the epoch", func(s *messenger.TargetSummary) { s.Epoch = 4 }, true},
+		{"the boot id", func(s *messenger.TargetSummary) { s.Boot = "c" }, true},
+		{"the warm-up ramp", func(s *messenger.TargetSummary) { s.WarmPercent = 10 }, true},
+		{"a long prefill", func(s *messenger.TargetSummary) { s.LongPrefills = 1 }, true},
+	} {
+		Convey("A summary that differs in "+test.name, t, func() {
+			now := told
+			test.change(&now)
+			So(summaryChanged(told, now), ShouldEqual, test.want)
+		})
+	}
+}
+
+// TestExchangesForget guards against growth with each restart of a peer and against numbers kept for ever.
+func TestExchangesForget(t *testing.T) {
+	Convey("Old numbers and processes that are no peers are forgotten", t, func() {
+		now := time.Unix(1_000, 0)
+		e := newExchanges()
+		e.noteSent(1, now)
+		for i := range 10 {
+			e.peer(namer.Holder{Instance: "a", Incarnation: namer.Incarnation(fmt.Sprint(i))})
+		}
+		e.forget(nil, now.Add(sendTimeKept))
+		So(e.sent, ShouldContainKey, int64(1))
+		So(e.peers, ShouldBeEmpty)
+		e.forget(nil, now.Add(sendTimeKept+time.Second))
+		So(e.sent, ShouldBeEmpty)
+	})
+}
--- a/pkg/elector/bench_test.go
+++ b/pkg/elector/bench_test.go
@@ -1,6 +1,7 @@
 package elector_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -17,20 +18,18 @@
 
 func benchHolder(i int) namer.Holder {
 	return namer.Holder{
-		Instance:    namer.Instance(fmt.Sprintf("i%d", i)),
-		Incarnation: "a",
+		Instance:    namer.Instance(fmt.Sprintf("entry-%d", i)),
+		Incarnation: "0a1b2c3d",
 	}
 }
 
-// benchElector is one member of a full cell in steady state.
-func benchElector(now time.Time) *elector.Elector {
-	el := elector.New(elector.DefaultOptions(benchHolder(0)), now)
+func benchTable(size int) (elector.Table, []elector.Target) {
 	table := elector.Table{
 		Entries: map[namer.Target]*elector.Entry{},
 	}
 	var targets []elector.Target
-	for i := range benchTargets {
-		id := namer.Target(fmt.Sprintf("t%02d", i))
+	for i := range size {
+		id := namer.Target(fmt.Sprintf("statement-%02d", i))
 		targets = append(targets, elector.Target{
 			ID: id,
 		})
@@ -40,6 +39,13 @@
 			Epoch:     1,
 		}
 	}
+	return table, targets
+}
+
+// benchElector is one member of a full cell in steady state.
+func benchElector(now time.Time) *elector.Elector {
+	el := elector.New(elector.DefaultOptions(benchHolder(0)), now)
+	table, targets := benchTable(benchTargets)
 	var members []tracker.Member
 	for i := range benchMembers {
 		members = append(members, tracker.Member{
@@ -59,6 +65,7 @@
 	now := time.Unix(1_000_000, 0)
 	el := benchElector(now)
 	b.ReportAllocs()
+	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(250 * time.Millisecond)
 		if i%4 == 0 {
@@ -84,3 +91,21 @@
 		}, now)
 	}
 }
+
+// BenchmarkTableBytes measures the size of the ownership table of one cell, which must stay under the store's 1 MB.
+func BenchmarkTableBytes(b *testing.B) {
+	for _, n := range []int{7, 14, 28} {
+		b.Run(fmt.Sprintf("%d_targets", n), func(b *testing.B) {
+			table, _ := benchTable(n)
+			size := 0
+			for range b.N {
+				encoded, err := json.Marshal(table)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/pkg/roller/roller_test.go
+++ b/pkg/roller/roller_test.go
@@ -205,12 +205,19 @@
 
 // BenchmarkLargeBundle measures a bundle of 20,000 customers; the store's limit on values is 1 MB.
 func BenchmarkLargeBundle(b *testing.B) {
-	bundle := largeBundle(20000)
+	for _, customers := range []int{2_000, 20_000} {
+		b.Run(fmt.Sprintf("%d_customers", customers), func(b *testing.B) { benchBundle(b, customers) })
+	}
+}
+
+func benchBundle(b *testing.B, customers int) {
+	b.Helper()
+	bundle := largeBundle(customers)
 	signed, err := Sign(bundle, "ben", modelKey)
 	if err != nil {
 		b.Fatal(err)
 	}
-	changed := largeBundle(20000)
+	changed := largeBundle(customers)
 	changed.Customers["customer-00007"] = Customer{Weight: 9, RequestsPerSecond: 1, Concurrency: 1}
 	keys := map[string]ed25519.PublicKey{"ben": modelKey.Public().(ed25519.PublicKey)}
 	b.Run("canonical", func(b *testing.B) {
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -164,11 +164,12 @@
 
 // BenchmarkTick measures one tick and one heartbeat of each other member.
 func BenchmarkTick(b *testing.B) {
-	for _, n := range []int{8, 330} {
+	for _, n := range []int{8, 30, 100, 330} {
 		b.Run(fmt.Sprint(n, "_members"), func(b *testing.B) {
 			tracker := newServing(n)
 			now := start
 			b.ReportAllocs()
+			b.ResetTimer()
 			for range b.N {
 				now = now.Add(time.Second)
 				for i := 1; i < n; i++ {
