--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -9,13 +9,15 @@
 
 // Settings are the settings of one instance or of the operator commands.
 type Settings struct {
-	Instance           namer.Instance                     `yaml:"instance"`
-	DataCentre         namer.DataCentre                   `yaml:"data_centre"`
-	Region             string                             `yaml:"region"`
-	Cell               namer.Cell                         `yaml:"cell"`
-	Listen             Addresses                          `yaml:"listen"`
-	Advertise          Addresses                          `yaml:"advertise"`
-	Platform           Platform                           `yaml:"platform"`
+	Instance   namer.Instance   `yaml:"instance"`
+	DataCentre namer.DataCentre `yaml:"data_centre"`
+	Region     string           `yaml:"region"`
+	Cell       namer.Cell       `yaml:"cell"`
+	Listen     Addresses        `yaml:"listen"`
+	Advertise  Addresses        `yaml:"advertise"`
+	Platform   Platform         `yaml:"platform"`
+	// Seeds are peer addresses to ask for the bundle and the members when the store cannot be reached at the start.
+	Seeds              []string                           `yaml:"seeds"`
 	Operator           string                             `yaml:"operator"`
 	Approvers          map[string]ed25519.PublicKey       `yaml:"approvers"`
 	Bounds             Bounds                             `yaml:"bounds"`
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -88,6 +88,26 @@
 		c.addCallQuotas(&beat, p.Holder, now)
 		c.sendHeartbeat(p, beat, now)
 	}
+	c.askSeeds(number, peers, now)
+}
+
+// askSeeds sends heartbeats to the seeds of the settings while this instance has never reached the store: it cannot read
+// the member records, and peers that it does not know cannot know a new address.
+func (c *Controller) askSeeds(number int64, known []tracker.Peer, now time.Time) {
+	if c.storeAge(now) >= 0 {
+		return
+	}
+	for _, seed := range c.options.Settings.Seeds {
+		asked := slices.ContainsFunc(known, func(p tracker.Peer) bool { return p.PeerAddress == seed })
+		if asked || seed == c.options.Settings.Advertise.Peers {
+			continue
+		}
+		beat := c.beat(number, now)
+		c.introduce(&beat, namer.Holder{})
+		c.sendHeartbeat(tracker.Peer{
+			PeerAddress: seed,
+		}, beat, now)
+	}
 }
 
 // beatTo returns the heartbeat for one peer, without quotas.
