--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,8 +65,10 @@
 	orders   *reconciler.Reconciler
 	sweeper  *deduplicator.Sweeper
 	owned    map[namer.Target]*allocator.Allocator
-	// lapsed tells since when this instance has no authority over a target whose allocator it keeps.
-	lapsed    map[namer.Target]time.Time
+	// lapsed marks the targets over which this instance has no authority now. Their allocators are kept: should authority
+	// return, a new one would not count the quotas that are still valid.
+	lapsed    map[namer.Target]bool
+	pastBoots map[string]bool
 	targets   map[namer.Target]tracker.Target
 	boots     map[namer.Target]string
 	bundle    roller.Bundle
@@ -82,6 +84,8 @@
 	exiting   bool
 	exited    bool
 	accepting bool
+	// departureRead is whether the store has answered what is out of service.
+	departureRead bool
 }
 
 // New returns a controller that works until the context ends; Run starts it.
@@ -105,7 +109,8 @@
 		orders:    newReconciler(now),
 		sweeper:   newSweeper(now),
 		owned:     map[namer.Target]*allocator.Allocator{},
-		lapsed:    map[namer.Target]time.Time{},
+		lapsed:    map[namer.Target]bool{},
+		pastBoots: map[string]bool{},
 		targets:   map[namer.Target]tracker.Target{},
 		boots:     map[namer.Target]string{},
 		accepting: true,
@@ -241,7 +246,6 @@
 	c.recorderActions(c.recorder.Tick(now))
 	c.trackerActions(c.tracker.Tick(now), now)
 	c.followerActions(c.follower.Tick(now), now)
-	c.forgetLapsed(now)
 	c.tickOrders(now)
 	c.trafficTick(now)
 	c.runSchedule(now)
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -93,9 +93,10 @@
 // beatTo returns the heartbeat for one peer, without quotas.
 func (c *Controller) beatTo(peer namer.Holder, number int64, now time.Time) messenger.Heartbeat {
 	beat := c.beat(number, now)
-	beat.Heard = c.elector.Heard(peer, now)
-	beat.Demand = c.demand(peer, now)
-	beat.Adopted = c.reserver.Adopted(peer)
+	c.introduce(&beat, peer)
+	beat.Heard = c.reports(peer, now)
+	beat.Targets = c.changedSummaries(peer, now)
+	c.addDemand(&beat, peer, now)
 	return beat
 }
 
@@ -116,17 +117,14 @@
 	version, _ := c.tracker.Departures()
 	beat := messenger.Heartbeat{
 		Sender:           c.options.Self,
-		State:            c.tracker.Self(),
-		DataCentre:       c.options.Settings.DataCentre,
-		CallerAddress:    c.options.Settings.Advertise.Callers,
 		BundleSequence:   c.follower.Sequence(),
 		DepartureVersion: version,
 		TableVersion:     c.elector.TableVersion(),
 		StoreAgeMS:       storeAgeMS(c.storeAge(now)),
 		Number:           number,
 	}
-	for _, t := range c.holding() {
-		beat.Targets = append(beat.Targets, summaryMessage(c.owned[t].Summary(now)))
+	if state := c.tracker.Self(); state != tracker.StateServing {
+		beat.State = state
 	}
 	return beat
 }
@@ -170,7 +168,7 @@
 		c.takeCallQuotas(m.beat, now)
 		number := c.nextNumber(now)
 		answer := c.beatTo(m.beat.Sender, number, now)
-		answer.Quotas = c.quotasFor(m.beat.Sender, number, now)
+		answer.Quotas = c.dueQuotas(m.beat.Sender, number, now)
 		m.reply <- answer
 	case beatAnswered:
 		c.takeBeatAnswer(m, now)
@@ -197,6 +195,8 @@
 
 func (c *Controller) takeBeatAnswer(m beatAnswered, now time.Time) {
 	if m.err != nil {
+		// Whatever the call carried may be lost.
+		c.exchanges.peer(m.peer.Holder).resend()
 		c.options.Log.Debug().Str("peer", m.peer.Holder.String()).Err(m.err).Msg("controller: heartbeat not answered")
 		return
 	}
@@ -213,31 +213,52 @@
 			Boot:          q.Boot,
 			MemoryTokens:  q.MemoryTokens,
 			PrefillTokens: q.PrefillTokens,
-			Valid:         time.Duration(q.ValidMS) * time.Millisecond,
+			Valid:         quotaValidity(q),
 		})
 	}
 	return result
 }
 
+func quotaValidity(q messenger.Quota) time.Duration {
+	if q.ValidMS == 0 {
+		return allocator.QuotaValid
+	}
+	return time.Duration(q.ValidMS) * time.Millisecond
+}
+
+func heardReports(message map[namer.Holder]int64) []tracker.Heard {
+	reports := make([]tracker.Heard, 0, len(message))
+	for h, n := range message {
+		reports = append(reports, tracker.Heard{
+			Holder: h,
+			Number: n,
+		})
+	}
+	return reports
+}
+
 // takeBeat hands a peer's heartbeat to every part that learns from it.
 func (c *Controller) takeBeat(b messenger.Heartbeat, now time.Time) {
 	x := c.exchanges.peer(b.Sender)
 	x.number = max(x.number, b.Number)
+	heard := heardReports(b.Heard)
+	state := cmp.Or(b.State, tracker.StateServing)
 	c.trackerActions(c.tracker.ObserveBeat(tracker.Beat{
 		Sender:           b.Sender,
-		State:            b.State,
+		State:            state,
 		DataCentre:       b.DataCentre,
 		CallerAddress:    b.CallerAddress,
+		PeerAddress:      b.PeerAddress,
 		Number:           b.Number,
 		DepartureVersion: b.DepartureVersion,
-		Heard:            b.Heard,
+		Heard:            heard,
 	}, now), now)
 	c.electorActions(c.elector.Handle(elector.HeartbeatHeard{
 		From:         b.Sender,
-		State:        b.State,
+		State:        state,
 		Number:       b.Number,
 		TableVersion: b.TableVersion,
-		Heard:        b.Heard,
+		Heard:        heard,
 	}, now), now)
 	age := time.Duration(b.StoreAgeMS) * time.Millisecond
 	c.followerActions(c.follower.HearPeer(b.Sender.Instance, b.BundleSequence, age, now), now)
@@ -248,26 +269,31 @@
 }
 
 func (c *Controller) takeSummary(s messenger.TargetSummary, now time.Time) {
-	_, own := c.owned[s.Target]
-	if _, lapsed := c.lapsed[s.Target]; own && !lapsed {
+	if _, own := c.owned[s.Target]; own && !c.lapsed[s.Target] {
 		return
 	}
 	c.traffic.setSummary(s, now)
 	c.sawBoot(s.Target, s.Boot, now)
 }
 
-// takeDemand hands each allocator what the sender reports; a target that it does not mention is not in use there.
+// takeDemand hands the allocators what the sender reports. In a report that names adopted quotas, a target that is not
+// mentioned is not in use.
 func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
 	demand := map[namer.Target]messenger.Demand{}
 	for _, d := range b.Demand {
 		demand[d.Target] = d
+		if d.WantedTokens > 0 {
+			c.exchanges.peer(b.Sender).quotas = time.Time{}
+		}
 	}
 	for id := range c.owned {
-		c.toAllocator(id, allocator.DemandReported{
-			From:         b.Sender,
-			UsedTokens:   demand[id].UsedTokens,
-			WantedTokens: demand[id].WantedTokens,
-			Adopted:      b.Adopted,
-		}, now)
+		if d, told := demand[id]; told || b.Adopted != 0 {
+			c.toAllocator(id, allocator.DemandReported{
+				From:         b.Sender,
+				UsedTokens:   d.UsedTokens,
+				WantedTokens: d.WantedTokens,
+				Adopted:      b.Adopted,
+			}, now)
+		}
 	}
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"net/http"
 	"slices"
@@ -62,6 +64,7 @@
 		}
 		owned = allocator.New(c.allocatorOptions(a.Target))
 		c.owned[a.Target] = owned
+		c.exchanges.renewQuotas()
 		c.listEngine(a.Target, now)
 	}
 	last := c.traffic.summary(a.Target)
@@ -73,7 +76,7 @@
 		KnownWarm: float64(last.WarmPercent) / 100,
 	}, now), now)
 	if a.Share == 0 {
-		c.lapsed[a.Target] = now
+		c.lapsed[a.Target] = true
 		c.orders.Disown(a.Target)
 		return
 	}
@@ -92,25 +95,11 @@
 	}
 }
 
-// allocatorKept is how long an allocator without authority is kept. Should authority return, it still knows the quotas
-// that it granted; a new one would not count them. It is longer than any quota is valid.
-const allocatorKept = time.Minute
-
-// forgetLapsed drops the allocators whose authority is long over.
-func (c *Controller) forgetLapsed(now time.Time) {
-	for id, since := range c.lapsed {
-		if now.Sub(since) > allocatorKept {
-			delete(c.lapsed, id)
-			delete(c.owned, id)
-		}
-	}
-}
-
 // holding returns the targets over which this instance has authority, sorted.
 func (c *Controller) holding() []namer.Target {
 	held := make([]namer.Target, 0, len(c.owned))
 	for id := range c.owned {
-		if _, lapsed := c.lapsed[id]; !lapsed {
+		if !c.lapsed[id] {
 			held = append(held, id)
 		}
 	}
@@ -200,14 +189,17 @@
 				c.allocatorActions(id, []allocator.Action{a}, now)
 				continue
 			}
-			quotas = append(quotas, messenger.Quota{
+			quota := messenger.Quota{
 				Target:        grant.Target,
 				Epoch:         grant.Epoch,
 				Boot:          grant.Boot,
 				MemoryTokens:  grant.MemoryTokens,
 				PrefillTokens: grant.PrefillTokens,
-				ValidMS:       grant.Valid.Milliseconds(),
-			})
+			}
+			if grant.Valid != allocator.QuotaValid {
+				quota.ValidMS = grant.Valid.Milliseconds()
+			}
+			quotas = append(quotas, quota)
 		}
 	}
 	return quotas
@@ -313,11 +305,11 @@
 		})
 	}
 	c.toAllocator(m.target, allocator.Listed{
-		Boot:      m.list.BootID,
+		Boot:      shortBoot(m.list.BootID),
 		Requested: m.requested,
 		Requests:  running,
 	}, now)
-	c.sawBoot(m.target, m.list.BootID, now)
+	c.sawBoot(m.target, shortBoot(m.list.BootID), now)
 	c.loseHolders(m.target, running, now)
 }
 
@@ -342,21 +334,34 @@
 		return
 	}
 	c.toAllocator(m.target, allocator.LoadReported{
-		Boot:        m.load.BootID,
+		Boot:        shortBoot(m.load.BootID),
 		Age:         time.Duration(m.load.AgeMS) * time.Millisecond,
 		Cold:        m.load.Cold,
 		QueueTokens: m.load.QueueTokens,
 	}, now)
 	c.orderActions(c.orders.ObserveBoot(m.target, m.load.BootID, now), now)
-	c.sawBoot(m.target, m.load.BootID, now)
+	c.sawBoot(m.target, shortBoot(m.load.BootID), now)
+}
+
+// shortBoot shortens the boot id of an engine for messages: 64 bits of a hash tell one boot from the next.
+func shortBoot(id string) string {
+	if id == "" {
+		return ""
+	}
+	digest := sha256.Sum256([]byte(id))
+	return base64.RawURLEncoding.EncodeToString(digest[:8])
 }
 
 // sawBoot notes the boot id that an engine reported; a new one means that its memory is empty.
 func (c *Controller) sawBoot(target namer.Target, boot string, now time.Time) {
-	if boot == "" || c.boots[target] == boot {
+	if boot == "" || c.boots[target] == boot || c.pastBoots[boot] {
 		return
 	}
 	known := c.boots[target] != ""
+	if known {
+		// Answers can arrive out of order: one from before the restart must not undo what came after it.
+		c.pastBoots[c.boots[target]] = true
+	}
 	c.boots[target] = boot
 	c.electorActions(c.elector.Handle(elector.BootSeen{
 		Target: target,
@@ -421,6 +426,14 @@
 		PrefillTokens: m.request.PrefillTokens,
 		Wait:          time.Duration(m.request.WaitMS) * time.Millisecond,
 	}, now), now)
+	c.shrinkQuotas(m.request.Target, now)
+}
+
+// shrinkQuotas makes the smaller quotas beside a reservation that waits for memory known with the next heartbeats.
+func (c *Controller) shrinkQuotas(target namer.Target, now time.Time) {
+	if c.owned[target].Summary(now).WaitingForReserve > 0 {
+		c.exchanges.renewQuotas()
+	}
 }
 
 // answerReserve hands an allocator's decision to the peer that waits for it, or to the own reserver.
@@ -499,6 +512,9 @@
 			PrefillTokens: a.PrefillTokens,
 			Wait:          a.Wait,
 		}, now)
+		if c.owned[a.Target] != nil {
+			c.shrinkQuotas(a.Target, now)
+		}
 		return
 	}
 	address := c.holderAddress(a.Owner, now)
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -56,10 +56,12 @@
 
 // Beat is what a tracker takes from a heartbeat of a peer.
 type Beat struct {
-	Sender           namer.Holder
-	State            State
+	Sender namer.Holder
+	State  State
+	// DataCentre and the addresses are empty if the beat does not name them; the last known ones stay.
 	DataCentre       namer.DataCentre
 	CallerAddress    string
+	PeerAddress      string
 	Number           int64
 	DepartureVersion int64
 	Heard            []Heard
