Do not repeat single reads while the platform is silent

Cause: during an outage each scheduled read was repeated up to five times by the client. After 5 s without an answer a read is one call; the schedule repeats it.

--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -79,6 +79,9 @@
 	return e.Cause
 }
 
+// silentAfter is the time without an answer after which the platform counts as down.
+const silentAfter = 5 * time.Second
+
 // Counters count the calls that were made, by verb, and what was spared or repeated.
 type Counters struct {
 	Get            int64
@@ -242,13 +245,20 @@
 			return v, nil
 		}
 		retry, again := c.settings.Retry.Decide(attempt, false, err, c.roll()).(Retry)
-		if !again || c.sleep(ctx, retry.Delay) != nil {
+		if !again || c.silent() || c.sleep(ctx, retry.Delay) != nil {
 			return v, err
 		}
 		c.count(func(n *Counters) { n.Retries++ })
 	}
 }
 
+// silent reports whether the platform has answered before but not lately. Reads are not repeated then: those that
+// matter come again on a schedule, and a fleet that repeats each of them multiplies its calls during an outage.
+func (c *Client) silent() bool {
+	answered := c.Answered()
+	return !answered.IsZero() && c.clock.Now().Sub(answered) > silentAfter
+}
+
 // acquire takes one call from the budget, waiting for a short time if need be.
 func (c *Client) acquire(ctx context.Context, priority Priority, verb string) error {
 	reserve := c.settings.ControlReserve
