--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -83,6 +83,9 @@
 	c.address("listen.peers", s.Listen.Peers)
 	c.advertised("callers", s.Advertise.Callers)
 	c.advertised("peers", s.Advertise.Peers)
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("seeds.%d", i), seed)
+	}
 }
 
 func (c *checker) address(field, value string) {
--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"maps"
-	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -51,6 +49,8 @@
 	// summaries and demand are what the peer was last told.
 	summaries map[namer.Target]toldSummary
 	demand    map[namer.Target]toldDemand
+	// adopted is the message of the peer whose quotas it was last told to be taken.
+	adopted int64
 }
 
 type toldSummary struct {
@@ -66,6 +66,7 @@
 // resend forgets what the peer was told, so that the next heartbeat tells it again.
 func (x *exchange) resend() {
 	x.quotas = time.Time{}
+	x.adopted = 0
 	clear(x.summaries)
 	clear(x.demand)
 }
@@ -171,7 +172,7 @@
 	if number == 0 {
 		return
 	}
-	beat.Quotas = c.dueQuotas(to, now)
+	beat.Quotas = c.dueQuotas(to, beat.Number, now)
 	if len(beat.Quotas) > 0 {
 		beat.Echo = number
 		beat.Receiver = to.Incarnation
@@ -184,6 +185,7 @@
 	if x.messages < introductions || x.messages%introductionEvery == 0 {
 		beat.DataCentre = c.options.Settings.DataCentre
 		beat.CallerAddress = c.options.Settings.Advertise.Callers
+		beat.PeerAddress = c.options.Settings.Advertise.Peers
 	}
 	x.messages++
 }
@@ -202,20 +204,20 @@
 }
 
 // dueQuotas returns the quotas for a peer if the last ones are due for renewal or the peer has asked for more.
-func (c *Controller) dueQuotas(to namer.Holder, now time.Time) []messenger.Quota {
+func (c *Controller) dueQuotas(to namer.Holder, number int64, now time.Time) []messenger.Quota {
 	x := c.exchanges.peer(to)
-	if len(c.owned) == 0 || now.Sub(x.quotas) < quotaRenewal {
+	if len(c.holding()) == 0 || now.Sub(x.quotas) < quotaRenewal {
 		return nil
 	}
 	x.quotas = now
-	return c.quotasFor(to, now)
+	return c.quotasFor(to, number, now)
 }
 
 // changedSummaries returns the summaries of owned targets that differ from what the peer was told, or are due.
 func (c *Controller) changedSummaries(to namer.Holder, now time.Time) []messenger.TargetSummary {
 	x := c.exchanges.peer(to)
 	var changed []messenger.TargetSummary
-	for _, id := range slices.Sorted(maps.Keys(c.owned)) {
+	for _, id := range c.holding() {
 		s := summaryMessage(c.owned[id].Summary(now))
 		told, ok := x.summaries[id]
 		if ok && now.Sub(told.at) < summaryRenewal && !summaryChanged(told.summary, s) {
@@ -228,7 +230,7 @@
 		changed = append(changed, s)
 	}
 	for id := range x.summaries {
-		if _, own := c.owned[id]; !own {
+		if _, own := c.owned[id]; !own || c.lapsed[id] {
 			delete(x.summaries, id)
 		}
 	}
@@ -247,6 +249,28 @@
 	return change > changeTokens && float64(change) > float64(told)*changeShare
 }
 
+// addDemand adds the demand on the targets of a peer. When quotas of the peer were taken since the last report, the report
+// names them and is complete and exact: the peer ends its earlier quotas down to the use that is told here.
+func (c *Controller) addDemand(beat *messenger.Heartbeat, to namer.Holder, now time.Time) {
+	x := c.exchanges.peer(to)
+	adopted := c.reserver.Adopted(to)
+	if adopted == x.adopted {
+		beat.Demand = c.changedDemand(to, now)
+		return
+	}
+	x.adopted = adopted
+	beat.Adopted = adopted
+	for _, d := range c.demand(to, now) {
+		x.demand[d.Target] = toldDemand{
+			used: d.UsedTokens,
+			at:   now,
+		}
+		if d.UsedTokens > 0 || d.WantedTokens > 0 {
+			beat.Demand = append(beat.Demand, d)
+		}
+	}
+}
+
 // changedDemand returns the demand on targets of a peer that differs from what it was told. What is wanted is told at
 // once, since the reserver reports it only once.
 func (c *Controller) changedDemand(to namer.Holder, now time.Time) []messenger.Demand {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -48,8 +48,14 @@
 	}
 }
 
+// exit ends the planned stop once the last member record is written, which tells the others that this process is gone.
 func (c *Controller) exit() {
-	if !c.exited {
+	c.exiting = true
+	c.exitWhenWritten()
+}
+
+func (c *Controller) exitWhenWritten() {
+	if c.exiting && !c.exited && !c.member.writing {
 		c.exited = true
 		close(c.done)
 	}
@@ -82,6 +88,26 @@
 		c.addCallQuotas(&beat, p.Holder, now)
 		c.sendHeartbeat(p, beat, now)
 	}
+	c.askSeeds(number, peers, now)
+}
+
+// askSeeds sends heartbeats to the seeds of the settings while this instance has never reached the store: it cannot read
+// the member records, and peers that it does not know cannot know a new address.
+func (c *Controller) askSeeds(number int64, known []tracker.Peer, now time.Time) {
+	if c.storeAge(now) >= 0 {
+		return
+	}
+	for _, seed := range c.options.Settings.Seeds {
+		asked := slices.ContainsFunc(known, func(p tracker.Peer) bool { return p.PeerAddress == seed })
+		if asked || seed == c.options.Settings.Advertise.Peers {
+			continue
+		}
+		beat := c.beat(number, now)
+		c.introduce(&beat, namer.Holder{})
+		c.sendHeartbeat(tracker.Peer{
+			PeerAddress: seed,
+		}, beat, now)
+	}
 }
 
 // beatTo returns the heartbeat for one peer, without quotas.
@@ -90,7 +116,7 @@
 	c.introduce(&beat, peer)
 	beat.Heard = c.reports(peer, now)
 	beat.Targets = c.changedSummaries(peer, now)
-	beat.Demand = c.changedDemand(peer, now)
+	c.addDemand(&beat, peer, now)
 	return beat
 }
 
@@ -160,8 +186,9 @@
 		c.exchanges.peer(m.beat.Sender).called = now
 		c.takeBeat(m.beat, now)
 		c.takeCallQuotas(m.beat, now)
-		answer := c.beatTo(m.beat.Sender, c.nextNumber(now), now)
-		answer.Quotas = c.dueQuotas(m.beat.Sender, now)
+		number := c.nextNumber(now)
+		answer := c.beatTo(m.beat.Sender, number, now)
+		answer.Quotas = c.dueQuotas(m.beat.Sender, number, now)
 		m.reply <- answer
 	case beatAnswered:
 		c.takeBeatAnswer(m, now)
@@ -241,6 +268,7 @@
 		State:            state,
 		DataCentre:       b.DataCentre,
 		CallerAddress:    b.CallerAddress,
+		PeerAddress:      b.PeerAddress,
 		Number:           b.Number,
 		DepartureVersion: b.DepartureVersion,
 		Heard:            heard,
@@ -261,22 +289,31 @@
 }
 
 func (c *Controller) takeSummary(s messenger.TargetSummary, now time.Time) {
-	if _, own := c.owned[s.Target]; own {
+	if _, own := c.owned[s.Target]; own && !c.lapsed[s.Target] {
 		return
 	}
 	c.traffic.setSummary(s, now)
 	c.sawBoot(s.Target, s.Boot, now)
 }
 
+// takeDemand hands the allocators what the sender reports. In a report that names adopted quotas, a target that is not
+// mentioned is not in use.
 func (c *Controller) takeDemand(b messenger.Heartbeat, now time.Time) {
+	demand := map[namer.Target]messenger.Demand{}
 	for _, d := range b.Demand {
+		demand[d.Target] = d
 		if d.WantedTokens > 0 {
 			c.exchanges.peer(b.Sender).quotas = time.Time{}
 		}
-		c.toAllocator(d.Target, allocator.DemandReported{
-			From:         b.Sender,
-			UsedTokens:   d.UsedTokens,
-			WantedTokens: d.WantedTokens,
-		}, now)
+	}
+	for id := range c.owned {
+		if d, told := demand[id]; told || b.Adopted != 0 {
+			c.toAllocator(id, allocator.DemandReported{
+				From:         b.Sender,
+				UsedTokens:   d.UsedTokens,
+				WantedTokens: d.WantedTokens,
+				Adopted:      b.Adopted,
+			}, now)
+		}
 	}
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -74,9 +75,13 @@
 		KnownBoot: last.Boot,
 		KnownWarm: float64(last.WarmPercent) / 100,
 	}, now), now)
-	if a.Share == 0 && a.Until.IsZero() {
-		delete(c.owned, a.Target)
+	if a.Share == 0 {
+		c.lapsed[a.Target] = true
+		c.orders.Disown(a.Target)
+		return
 	}
+	delete(c.lapsed, a.Target)
+	c.orderActions(c.orders.Own(a.Target, a.Epoch, now), now)
 }
 
 func (c *Controller) allocatorOptions(id namer.Target) allocator.Options {
@@ -90,6 +95,18 @@
 	}
 }
 
+// holding returns the targets over which this instance has authority, sorted.
+func (c *Controller) holding() []namer.Target {
+	held := make([]namer.Target, 0, len(c.owned))
+	for id := range c.owned {
+		if !c.lapsed[id] {
+			held = append(held, id)
+		}
+	}
+	slices.Sort(held)
+	return held
+}
+
 // toAllocator hands an event to the allocator of a target if this instance has one.
 func (c *Controller) toAllocator(target namer.Target, event allocator.Event, now time.Time) {
 	if owned, ok := c.owned[target]; ok {
@@ -160,11 +177,12 @@
 }
 
 // quotasFor asks each allocator for the quota of a recipient.
-func (c *Controller) quotasFor(to namer.Holder, now time.Time) []messenger.Quota {
+func (c *Controller) quotasFor(to namer.Holder, number int64, now time.Time) []messenger.Quota {
 	var quotas []messenger.Quota
-	for id, owned := range c.owned {
-		for _, a := range owned.Handle(allocator.QuotaAsked{
-			To: to,
+	for _, id := range c.holding() {
+		for _, a := range c.owned[id].Handle(allocator.QuotaAsked{
+			To:     to,
+			Number: number,
 		}, now) {
 			grant, ok := a.(allocator.GrantQuota)
 			if !ok {
@@ -189,22 +207,20 @@
 
 // grantOwnQuotas gives this instance its own share of the targets that it owns.
 func (c *Controller) grantOwnQuotas(now time.Time) {
-	for _, d := range c.reserver.Demand(c.options.Self, now) {
-		c.toAllocator(d.Target, allocator.DemandReported{
-			From:         c.options.Self,
-			UsedTokens:   d.UsedTokens,
-			WantedTokens: d.WantedTokens,
-		}, now)
-	}
+	c.takeDemand(messenger.Heartbeat{
+		Sender:  c.options.Self,
+		Demand:  c.demand(c.options.Self, now),
+		Adopted: c.reserver.Adopted(c.options.Self),
+	}, now)
 	c.number++
 	c.reserverActions(c.reserver.Handle(reserver.QuotasReceived{
 		From:      c.options.Self,
 		Number:    c.number,
 		Requested: now,
-		Quotas:    quotas(c.quotasFor(c.options.Self, now)),
+		Quotas:    quotas(c.quotasFor(c.options.Self, c.number, now)),
 	}, now), now)
-	for _, owned := range c.owned {
-		c.traffic.setSummary(summaryMessage(owned.Summary(now)), now)
+	for _, id := range c.holding() {
+		c.traffic.setSummary(summaryMessage(c.owned[id].Summary(now)), now)
 	}
 	c.traffic.roomChanged(now)
 }
@@ -245,7 +261,7 @@
 
 // readCaches reads the prefix cache events of the owned targets.
 func (c *Controller) readCaches() {
-	for id := range c.owned {
+	for _, id := range c.holding() {
 		address := c.targets[id].Address
 		after := c.traffic.cacheAfter(id)
 		c.start(engineTimeout, func(ctx context.Context) message {
@@ -323,6 +339,7 @@
 		Cold:        m.load.Cold,
 		QueueTokens: m.load.QueueTokens,
 	}, now)
+	c.orderActions(c.orders.ObserveBoot(m.target, m.load.BootID, now), now)
 	c.sawBoot(m.target, shortBoot(m.load.BootID), now)
 }
 
@@ -337,10 +354,14 @@
 
 // sawBoot notes the boot id that an engine reported; a new one means that its memory is empty.
 func (c *Controller) sawBoot(target namer.Target, boot string, now time.Time) {
-	if boot == "" || c.boots[target] == boot {
+	if boot == "" || c.boots[target] == boot || c.pastBoots[boot] {
 		return
 	}
 	known := c.boots[target] != ""
+	if known {
+		// Answers can arrive out of order: one from before the restart must not undo what came after it.
+		c.pastBoots[c.boots[target]] = true
+	}
 	c.boots[target] = boot
 	c.electorActions(c.elector.Handle(elector.BootSeen{
 		Target: target,
@@ -357,6 +378,14 @@
 	}, now), now)
 }
 
+// staleEpoch notes that an engine rejected an epoch of this instance.
+func (c *Controller) staleEpoch(target namer.Target, epoch namer.Epoch, now time.Time) {
+	c.electorActions(c.elector.Handle(elector.EpochRejected{
+		Target: target,
+		Epoch:  epoch,
+	}, now), now)
+}
+
 func (c *Controller) takeFence(m fenceAnswered, now time.Time) {
 	var engine *streamer.EngineError
 	refused := errors.As(m.err, &engine) && engine.Status == http.StatusConflict
@@ -397,6 +426,14 @@
 		PrefillTokens: m.request.PrefillTokens,
 		Wait:          time.Duration(m.request.WaitMS) * time.Millisecond,
 	}, now), now)
+	c.shrinkQuotas(m.request.Target, now)
+}
+
+// shrinkQuotas makes the smaller quotas beside a reservation that waits for memory known with the next heartbeats.
+func (c *Controller) shrinkQuotas(target namer.Target, now time.Time) {
+	if c.owned[target].Summary(now).WaitingForReserve > 0 {
+		c.exchanges.renewQuotas()
+	}
 }
 
 // answerReserve hands an allocator's decision to the peer that waits for it, or to the own reserver.
@@ -475,6 +512,9 @@
 			PrefillTokens: a.PrefillTokens,
 			Wait:          a.Wait,
 		}, now)
+		if c.owned[a.Target] != nil {
+			c.shrinkQuotas(a.Target, now)
+		}
 		return
 	}
 	address := c.holderAddress(a.Owner, now)
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -21,9 +21,10 @@
 	Sender namer.Holder `json:"sender"`
 	// State is left out while the sender serves.
 	State tracker.State `json:"state,omitempty"`
-	// DataCentre and CallerAddress never change within an incarnation and travel in some messages only.
+	// DataCentre and the addresses never change within an incarnation and travel in some messages only.
 	DataCentre       namer.DataCentre `json:"data_centre,omitempty"`
 	CallerAddress    string           `json:"caller_address,omitempty"`
+	PeerAddress      string           `json:"peer_address,omitempty"`
 	BundleSequence   int64            `json:"bundle_sequence,omitempty"`
 	DepartureVersion int64            `json:"departure_version,omitempty"`
 	TableVersion     int64            `json:"table_version,omitempty"`
@@ -35,6 +36,9 @@
 	Targets []TargetSummary        `json:"targets,omitempty"`
 	Quotas  []Quota                `json:"quotas,omitempty"`
 	Demand  []Demand               `json:"demand,omitempty"`
+	// Adopted is the number of the last message of the receiver whose quotas the sender took; targets without demand
+	// are not in use.
+	Adopted int64 `json:"adopted,omitempty"`
 	// Echo is the receiver's number that the quotas of a call count from; an answer's count from its call.
 	Echo int64 `json:"echo,omitempty"`
 	// Receiver is the process that sent the number in Echo.
