Wait before long prefills, learn token intervals while streams run, and allow 16 retries in 10 s

The placer's notice before a long prefill was not honoured: others learn of it only with the next heartbeat. The memory is asked for once more after the wait.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -55,7 +55,7 @@
 	select {
 	case a := <-reply:
 		if a.placement != nil {
-			c.Release(a.placement, Aborted, 0)
+			c.Release(a.placement, Aborted)
 		}
 	default:
 	}
@@ -74,12 +74,30 @@
 	})
 }
 
-// Release gives back what an attempt holds; interval is its mean time between tokens, 0 if unknown.
-func (c *Controller) Release(placement *Placement, outcome Outcome, interval time.Duration) {
+// MayStart asks whether an attempt that waited after its placement may still be sent.
+func (c *Controller) MayStart(ctx context.Context, placement *Placement) bool {
+	reply := make(chan bool, 1)
+	allowed, err := ask(ctx, c, reply, startWanted{
+		placement: placement,
+		reply:     reply,
+	})
+	return err == nil && allowed
+}
+
+// Interval tells the mean time between some tokens of an attempt.
+func (c *Controller) Interval(placement *Placement, mean time.Duration, tokens int) {
+	c.post(c.ctx, interval{
+		placement: placement,
+		mean:      mean,
+		tokens:    tokens,
+	})
+}
+
+// Release gives back what an attempt holds.
+func (c *Controller) Release(placement *Placement, outcome Outcome) {
 	c.post(c.ctx, released{
 		placement: placement,
 		outcome:   outcome,
-		interval:  interval,
 	})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -215,7 +215,7 @@
 
 func (c *Controller) handle(m message, now time.Time) {
 	switch m := m.(type) {
-	case *admit, abandoned, firstToken, released, refused, callWanted, callEnded:
+	case *admit, abandoned, firstToken, startWanted, interval, released, refused, callWanted, callEnded:
 		c.handleTraffic(m, now)
 	case beatHeard, beatAnswered, reserveHeard, reserveAnswered, releaseHeard, confirmHeard, confirmAnswered:
 		c.handlePeer(m, now)
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -46,7 +46,15 @@
 	released struct {
 		placement *Placement
 		outcome   Outcome
-		interval  time.Duration
+	}
+	startWanted struct {
+		placement *Placement
+		reply     chan<- bool
+	}
+	interval struct {
+		placement *Placement
+		mean      time.Duration
+		tokens    int
 	}
 	refused struct {
 		record refuser.Record
@@ -195,6 +203,8 @@
 func (*admit) message()           {}
 func (abandoned) message()        {}
 func (firstToken) message()       {}
+func (startWanted) message()      {}
+func (interval) message()         {}
 func (released) message()         {}
 func (refused) message()          {}
 func (callWanted) message()       {}
--- a/internal/controller/request.go
+++ b/internal/controller/request.go
@@ -42,6 +42,9 @@
 	Priority int
 	Class    string
 	Holder   string
+	// Notice is how long to wait before sending: the time in which other instances learn of a long prefill and place
+	// short requests elsewhere.
+	Notice time.Duration
 	// FirstTokenWithin and TokenWithin bound the silence of the stream before and after the first token.
 	FirstTokenWithin time.Duration
 	TokenWithin      time.Duration
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -47,6 +47,9 @@
 	targets     []namer.Target
 	// uncached is the prefill that the placement counted on.
 	uncached int
+	granted  reserver.Granted
+	// sendAt is the earliest time to send the attempt to its target.
+	sendAt time.Time
 }
 
 // unreachablePause is how long an instance places nothing on a target after it could not connect to it. Without a pause
@@ -240,6 +243,11 @@
 		t.abandon(m.admission, now)
 	case firstToken:
 		t.firstToken(m, now)
+	case startWanted:
+		a := t.reserved[namer.Request(m.placement.Attempt)]
+		m.reply <- a != nil && t.mayStart(a.granted, now)
+	case interval:
+		t.learnInterval(m)
 	case released:
 		t.release(m, now)
 	case refused:
@@ -488,6 +496,7 @@
 	switch d := admitted.Decision.(type) {
 	case placer.Chosen:
 		a.class, a.estimate, a.uncached = d.Class, d.Estimate, d.UncachedTokens
+		a.sendAt = now.Add(d.Notice)
 		a.targets = []namer.Target{d.Target}
 		t.control.reserverActions(t.control.reserver.Handle(reserver.Reserve{
 			Request:       a.reservation,
@@ -498,6 +507,7 @@
 		}, now), now)
 	case placer.Group:
 		a.class, a.estimate = placer.Long, d.Estimate
+		a.sendAt = now.Add(d.Notice)
 		a.targets = nil
 		for _, m := range d.Members {
 			a.targets = append(a.targets, m.Target)
@@ -579,7 +589,9 @@
 		t.requeue(a, now)
 		return
 	}
+	a.granted = g
 	placement := t.placementOf(a, g)
+	placement.Notice = max(0, a.sendAt.Sub(now))
 	a.stage = stageRunning
 	a.admission.request.Attempts++
 	a.admission.reply <- admission{
@@ -659,17 +671,24 @@
 	}, now)
 }
 
+// learnInterval learns the time between tokens while a stream runs.
+func (t *traffic) learnInterval(m interval) {
+	a := t.reserved[namer.Request(m.placement.Attempt)]
+	if a == nil || len(a.targets) > 1 {
+		return
+	}
+	t.estimator.Observe(estimator.Observation{
+		Target:         a.targets[0],
+		TokenInterval:  m.mean,
+		IntervalTokens: m.tokens,
+	})
+}
+
 func (t *traffic) release(m released, now time.Time) {
 	a := t.reserved[namer.Request(m.placement.Attempt)]
 	if a == nil {
 		return
 	}
-	if m.interval > 0 && len(a.targets) == 1 {
-		t.estimator.Observe(estimator.Observation{
-			Target:        a.targets[0],
-			TokenInterval: m.interval,
-		})
-	}
 	t.finish(a, exitOf(m.outcome), now)
 }
 
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -16,6 +16,9 @@
 // streamBuffer is the number of tokens read ahead of the caller at most; the meter bounds their bytes.
 const streamBuffer = 4096
 
+// intervalTokens is the number of tokens over which the time between them is reported.
+const intervalTokens = 16
+
 // session serves one admitted completion over one or more attempts.
 type session struct {
 	server  *Server
@@ -28,8 +31,13 @@
 	started  time.Time
 	first    time.Time
 	received int
+	// measured is when the time between tokens was last reported.
+	measured time.Time
 }
 
+// errExpired means that the memory reserved for an attempt was taken back before it was sent.
+var errExpired = errors.New("the reservation expired before the request was sent")
+
 // callerError means that the caller is gone or reads too slowly.
 type callerError struct {
 	cause error
@@ -57,11 +65,11 @@
 	for {
 		err := s.attempt(ctx, placement)
 		if err == nil {
-			s.server.options.Control.Release(placement, controller.Finished, s.interval())
+			s.server.options.Control.Release(placement, controller.Finished)
 			s.finish()
 			return
 		}
-		s.server.options.Control.Release(placement, controller.Aborted, s.interval())
+		s.server.options.Control.Release(placement, controller.Aborted)
 		placement, err = s.again(ctx, placement, err)
 		if err != nil {
 			s.fail(err)
@@ -141,6 +149,9 @@
 func (s *session) attempt(ctx context.Context, placement *controller.Placement) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := s.notice(ctx, placement); err != nil {
+		return err
+	}
 	s.started, s.first, s.received = s.server.options.Clock.Now(), time.Time{}, 0
 	tokens := make(chan streamer.Token, streamBuffer)
 	done := make(chan error, len(placement.Parts))
@@ -176,6 +187,22 @@
 	return err
 }
 
+// notice waits before a long prefill is sent.
+func (s *session) notice(ctx context.Context, placement *controller.Placement) error {
+	if placement.Notice <= 0 {
+		return nil
+	}
+	select {
+	case <-s.server.options.Clock.After(placement.Notice):
+		if !s.server.options.Control.MayStart(ctx, placement) {
+			return errExpired
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (s *session) start(ctx context.Context, placement *controller.Placement, part int, done chan<- error, receive func(streamer.Token) error) {
 	completion := s.completion(placement, part)
 	address := placement.Parts[part].Address
@@ -309,24 +336,21 @@
 // observe takes the times that predictions are learned from.
 func (s *session) observe(placement *controller.Placement) {
 	s.received++
+	now := s.server.options.Clock.Now()
 	if s.received > 1 {
+		if s.received%intervalTokens == 1 {
+			s.server.options.Control.Interval(placement, now.Sub(s.measured)/intervalTokens, intervalTokens)
+			s.measured = now
+		}
 		return
 	}
-	s.first = s.server.options.Clock.Now()
+	s.first, s.measured = now, now
 	s.server.options.Control.FirstToken(placement, s.first.Sub(s.started))
 	if s.next == s.request.ResumeFrom {
 		s.server.options.Metrics.FirstToken.WithLabelValues(placement.Class).Observe(s.first.Sub(s.request.Received).Seconds())
 	}
 }
 
-// interval returns the mean time between tokens of the attempt, 0 if it had fewer than two.
-func (s *session) interval() time.Duration {
-	if s.received < 2 {
-		return 0
-	}
-	return s.server.options.Clock.Now().Sub(s.first) / time.Duration(s.received-1)
-}
-
 // cancelParts frees the attempt's memory at its targets; what cannot be reached is found later by the owner's reconciliation.
 func (s *session) cancelParts(placement *controller.Placement) {
 	for i := range placement.Parts {
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -14,8 +14,8 @@
 	BudgetShare float64
 	// BudgetWindow is the time over which requests and retries are counted.
 	BudgetWindow time.Duration
-	// BudgetMinimum is the number of retries always allowed in a window, so that an instance with
-	// few requests can still resume a stream.
+	// BudgetMinimum is the number of retries always allowed in a window: at a small site the loss of
+	// one engine breaks more of an instance's streams than a tenth of its requests in the window.
 	BudgetMinimum int
 	// SilenceMinimum and SilenceFactor bound how long a stream may be silent.
 	SilenceMinimum time.Duration
@@ -27,7 +27,7 @@
 	return Settings{
 		BudgetShare:    0.1,
 		BudgetWindow:   10 * time.Second,
-		BudgetMinimum:  1,
+		BudgetMinimum:  16,
 		SilenceMinimum: 2 * time.Second,
 		SilenceFactor:  3,
 	}
