Place nothing after a pause until the departures are confirmed

Cause: requests that waited in the socket of a paused instance were admitted after it resumed, and the heartbeats that waited beside them ended its isolation before it knew of a departure meanwhile. Ruled out: isolation over the time without contact, because what is read after a pause was sent before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,6 +81,7 @@
 	exchanges exchanges
 	watch     context.CancelFunc
 	answers   uint64
+	pause     pause
 	exiting   bool
 	exited    bool
 	accepting bool
@@ -164,10 +165,14 @@
 	for {
 		select {
 		case m := <-c.inbox:
-			c.handle(m, c.options.Clock.Now())
+			now := c.options.Clock.Now()
+			c.notePause(now)
+			c.handle(m, now)
 		case <-next:
 			next = c.options.Clock.After(tickInterval)
-			c.tick(c.options.Clock.Now())
+			now := c.options.Clock.Now()
+			c.notePause(now)
+			c.tick(now)
 		case <-c.ctx.Done():
 			return
 		}
@@ -214,6 +219,9 @@
 }
 
 func (c *Controller) handle(m message, now time.Time) {
+	if c.postpone(m) {
+		return
+	}
 	switch m := m.(type) {
 	case *admit, abandoned, firstToken, startWanted, interval, released, refused, callWanted, callEnded:
 		c.handleTraffic(m, now)
@@ -247,6 +255,7 @@
 	c.trackerActions(c.tracker.Tick(now), now)
 	c.followerActions(c.follower.Tick(now), now)
 	c.tickOrders(now)
+	c.refusePostponed(now)
 	c.trafficTick(now)
 	c.runSchedule(now)
 	c.publish(now)
--- a/internal/controller/distribution.go
+++ b/internal/controller/distribution.go
@@ -46,6 +46,7 @@
 		return
 	}
 	c.trackerActions(c.tracker.ObserveDeparture(m.answer.Version, m.answer.Departure, now), now)
+	c.confirmDepartures(m.requested, m.answer.Version, now)
 }
 
 func (c *Controller) takeDeparture(m departureRead, now time.Time) {
@@ -55,10 +56,10 @@
 	}
 	c.heardStore(now)
 	c.departureRead = true
-	if m.version == 0 {
-		return
+	if m.version != 0 {
+		c.trackerActions(c.tracker.ObserveDeparture(m.version, m.departure, now), now)
 	}
-	c.trackerActions(c.tracker.ObserveDeparture(m.version, m.departure, now), now)
+	c.confirmDepartures(m.requested, m.version, now)
 }
 
 func (c *Controller) takeBundle(m bundleFetched, now time.Time) {
@@ -172,19 +173,23 @@
 	return read
 }
 
-func (c *Controller) readDeparture() {
+func (c *Controller) readDeparture(now time.Time) {
 	c.start(c.storeTimeout(), func(ctx context.Context) message {
 		object, err := c.options.Store.Get(ctx, storer.PriorityControl, storer.KindDeparture, storer.CurrentName)
 		var missing *storer.NotFoundError
 		if errors.As(err, &missing) {
-			return departureRead{}
+			return departureRead{
+				requested: now,
+			}
 		}
 		if err != nil {
 			return departureRead{
 				err: err,
 			}
 		}
-		return decodeDeparture(object)
+		read := decodeDeparture(object)
+		read.requested = now
+		return read
 	})
 }
 
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -68,9 +68,10 @@
 			Version: a.Version,
 		})
 		return departureFetched{
-			peer:   a.Peer,
-			answer: answer,
-			err:    err,
+			requested: now,
+			peer:      a.Peer,
+			answer:    answer,
+			err:       err,
 		}
 	})
 }
@@ -222,6 +223,7 @@
 	}
 	c.takeBeat(m.answer, now)
 	c.takeQuotas(m.answer, m.sent, now)
+	c.confirmDepartures(m.sent, m.answer.DepartureVersion, now)
 }
 
 func quotas(messages []messenger.Quota) []reserver.Quota {
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -117,9 +117,10 @@
 		reply chan<- messenger.FetchDepartureAnswer
 	}
 	departureFetched struct {
-		peer   namer.Holder
-		answer messenger.FetchDepartureAnswer
-		err    error
+		requested time.Time
+		peer      namer.Holder
+		answer    messenger.FetchDepartureAnswer
+		err       error
 	}
 )
 
@@ -160,6 +161,7 @@
 		err     error
 	}
 	departureRead struct {
+		requested time.Time
 		version   int64
 		departure tracker.Departure
 		err       error
--- a/internal/controller/schedule.go
+++ b/internal/controller/schedule.go
@@ -63,7 +63,7 @@
 		c.readInstances(now)
 	}
 	if version, _ := c.tracker.Departures(); version == 0 && due(&s.departure, now, c.departureInterval()) {
-		c.readDeparture()
+		c.readDeparture(now)
 	}
 	if due(&s.reconcile, now, times.Reconcile) {
 		c.listEngines(now)
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -215,6 +215,9 @@
 // roomChanged tries the queues again: quotas were renewed or memory was released.
 func (t *traffic) roomChanged(now time.Time) {
 	t.now = now
+	if t.control.unconfirmed() {
+		return
+	}
 	for model := range t.control.bundle.Models {
 		for {
 			action := t.admitter.Next(now, model)
