Say truly whether an ended request ran, and expect quotas to move at light load

A request whose attempts could not be sent was refused with ran yes when the retry budget or its time was spent. datacentre_out: cause, the wait for memory was predicted from the few releases of this instance, longer than a deadline of 20 s, although quotas follow demand within about 3 s. Ruled out: room on the other targets.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -34,13 +34,13 @@
 	case <-c.ctx.Done():
 		return nil, stopped()
 	case <-ctx.Done():
-		return nil, c.giveUp(m, reply, failure != nil)
+		return nil, c.giveUp(m, reply)
 	}
 }
 
 // giveUp withdraws an admission whose caller has gone or whose time is over; a placement that was already on its way
 // is found and released by the control goroutine.
-func (c *Controller) giveUp(m *admit, reply <-chan admission, ran bool) error {
+func (c *Controller) giveUp(m *admit, reply <-chan admission) error {
 	c.post(c.ctx, abandoned{
 		admission: m,
 	})
@@ -49,8 +49,8 @@
 		Ran:     refuser.RanNo,
 		Message: "the caller went away or its time was over before a target was free",
 	}
-	if ran {
-		refusal.Ran = refuser.RanYes
+	if m.failure != nil {
+		refusal.Ran = m.request.Ran
 	}
 	select {
 	case a := <-reply:
--- a/internal/controller/pause.go
+++ b/internal/controller/pause.go
@@ -76,7 +76,7 @@
 		switch m := m.(type) {
 		case *admit:
 			if m.failure != nil {
-				r.Ran = refuser.RanYes
+				r.Ran = m.request.Ran
 			}
 			m.reply <- admission{
 				err: r,
--- a/internal/controller/request.go
+++ b/internal/controller/request.go
@@ -23,8 +23,8 @@
 	Patience time.Duration
 	// Deadline is set at admission.
 	Deadline time.Time
-	// Attempts counts the placements so far.
-	Attempts int
+	// Ran tells whether any target may have worked on the request.
+	Ran refuser.Ran
 }
 
 // Part is one target that a placement holds memory on.
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -322,7 +322,7 @@
 	}
 	if m.failure != nil {
 		t.noteFailure(m.failure, now)
-		return t.checkRetry(now)
+		return t.checkRetry(r.Ran, now)
 	}
 	return nil
 }
@@ -340,11 +340,11 @@
 	}
 }
 
-func (t *traffic) checkRetry(now time.Time) error {
+func (t *traffic) checkRetry(ran refuser.Ran, now time.Time) error {
 	if !t.budget.Spend(now) {
 		return &refuser.Refusal{
 			Reason:     refuser.RetryBudgetSpent,
-			Ran:        refuser.RanYes,
+			Ran:        ran,
 			Message:    "the target failed and too many requests were repeated lately: send it again with resume_from",
 			RetryAfter: t.settings.BudgetWindow,
 		}
@@ -468,7 +468,7 @@
 func (t *traffic) afterStart(action admitter.Refuse) *refuser.Refusal {
 	a := t.attempts[action.Request.ID]
 	if a != nil && a.admission.failure != nil {
-		action.Refusal.Ran = refuser.RanYes
+		action.Refusal.Ran = a.admission.request.Ran
 	}
 	return action.Refusal
 }
@@ -596,7 +596,6 @@
 	placement := t.placementOf(a, g)
 	placement.Notice = max(0, a.sendAt.Sub(now))
 	a.stage = stageRunning
-	a.admission.request.Attempts++
 	a.admission.reply <- admission{
 		placement: placement,
 	}
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -106,6 +106,7 @@
 		PromptTokens: tokens,
 		MaxTokens:    parsed.MaxTokens,
 		ResumeFrom:   parsed.ResumeFrom,
+		Ran:          refuser.RanNo,
 		Stream:       parsed.Stream,
 		Received:     now,
 		Prefix:       prefixHashes(words),
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -93,6 +93,7 @@
 
 // again decides whether a failed attempt is followed by another, and returns its placement.
 func (s *session) again(ctx context.Context, placement *controller.Placement, cause error) (*controller.Placement, error) {
+	s.noteRun(cause)
 	var caller *callerError
 	if errors.As(cause, &caller) || errors.Is(cause, errTooSlow) || errors.Is(ctx.Err(), context.Canceled) {
 		return nil, s.callerRefusal(cause)
@@ -100,7 +101,7 @@
 	if !s.server.options.Clock.Now().Before(s.request.Deadline) {
 		return nil, &refuser.Refusal{
 			Reason:  refuser.DeadlineExceeded,
-			Ran:     refuser.RanYes,
+			Ran:     s.request.Ran,
 			Message: fmt.Sprintf("the deadline passed after %d tokens", s.next-s.request.ResumeFrom),
 		}
 	}
@@ -118,10 +119,26 @@
 	return next, nil
 }
 
+// noteRun keeps whether any target may have worked on the request: not if the connection could not be opened, the target
+// refused the attempt, or nothing was sent.
+func (s *session) noteRun(cause error) {
+	switch {
+	case s.next > s.request.ResumeFrom:
+		s.request.Ran = refuser.RanYes
+	case s.request.Ran != refuser.RanNo || errors.Is(cause, errExpired):
+		// An earlier attempt may have run, or this one was not sent.
+	default:
+		reason := retryReason(cause)
+		if reason != refuser.ConnectFailed && reason != refuser.TargetRefused {
+			s.request.Ran = refuser.RanUnknown
+		}
+	}
+}
+
 func (s *session) callerRefusal(cause error) error {
 	return &refuser.Refusal{
 		Reason:  refuser.ReaderTooSlow,
-		Ran:     refuser.RanYes,
+		Ran:     s.request.Ran,
 		Message: "the caller closed the connection or read nothing for too long: " + cause.Error(),
 	}
 }
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -213,6 +213,10 @@
 		needed /= a.instances
 	}
 	memory := queues.releaseAfter(now, needed, oneRun, a.settings.RetryAfterMaximum)
+	if queue.length < a.settings.QuotaQueue {
+		// At light load this instance's releases say little: memory comes with the next quotas.
+		memory = min(memory, a.settings.QuotaWait)
+	}
 	head := time.Duration(float64(queue.length) * queue.headTime * float64(time.Second))
 	return min(max(memory, head), a.settings.RetryAfterMaximum)
 }
--- a/pkg/admitter/api.go
+++ b/pkg/admitter/api.go
@@ -26,6 +26,10 @@
 	// RetryAfterMinimum and RetryAfterMaximum bound what callers are told.
 	RetryAfterMinimum time.Duration
 	RetryAfterMaximum time.Duration
+	// QuotaWait is the time in which quotas move to the instances and targets with demand; up to
+	// QuotaQueue requests of a class are expected to be placed within it.
+	QuotaWait  time.Duration
+	QuotaQueue int
 	// Backoff is the pause after an owner declined a reservation.
 	Backoff time.Duration
 }
@@ -41,6 +45,8 @@
 		FlowsTried:        4,
 		RetryAfterMinimum: 100 * time.Millisecond,
 		RetryAfterMaximum: time.Minute,
+		QuotaWait:         3 * time.Second,
+		QuotaQueue:        16,
 		Backoff:           50 * time.Millisecond,
 	}
 }
--- a/pkg/elector/regress_test.go
+++ b/pkg/elector/regress_test.go
@@ -5,9 +5,17 @@
 	"time"
 )
 
-// Guards against a capacity that is exceeded in a schedule that a search has found.
-func TestFoundSchedules(t *testing.T) {
-	w := newWorld(0x23312, []fault{{Kind: faultCutPeers, At: 10750 * time.Millisecond, Length: 250 * time.Millisecond, Who: 5}}, without{}, 4)
+// Guards against capacity that is exceeded when one instance is cut off from its peers for a moment: a search found it in an
+// earlier version, with 102,369 of 100,000 tokens.
+func TestShortPartition(t *testing.T) {
+	w := newWorld(0x23312, []fault{
+		{
+			Kind:   faultCutPeers,
+			At:     10750 * time.Millisecond,
+			Length: 250 * time.Millisecond,
+			Who:    5,
+		},
+	}, without{}, 4)
 	if err := w.run(); err != nil {
 		t.Fatal(err)
 	}
