Follow each request's attempts with retrier.Stream

Events that are dropped no longer count as progress, and a slow caller is no longer taken for a silent engine.

--- a/internal/controller/request.go
+++ b/internal/controller/request.go
@@ -45,9 +45,9 @@
 	// Notice is how long to wait before sending: the time in which other instances learn of a long prefill and place
 	// short requests elsewhere.
 	Notice time.Duration
-	// FirstTokenWithin and TokenWithin bound the silence of the stream before and after the first token.
-	FirstTokenWithin time.Duration
-	TokenWithin      time.Duration
+	// FirstToken and TokenInterval are the predicted times to the first token and between tokens.
+	FirstToken    time.Duration
+	TokenInterval time.Duration
 }
 
 // Outcome is how an attempt ended.
--- a/internal/controller/traffic.go
+++ b/internal/controller/traffic.go
@@ -603,12 +603,12 @@
 
 func (t *traffic) placementOf(a *attempt, g reserver.Granted) *Placement {
 	placement := &Placement{
-		Attempt:          string(a.reservation),
-		Priority:         a.admitted.Priority,
-		Class:            a.class.String(),
-		Holder:           t.control.options.Self.String(),
-		FirstTokenWithin: t.silence(a.estimate.FirstToken()),
-		TokenWithin:      t.silence(t.estimator.TokenInterval(a.targets[0])),
+		Attempt:       string(a.reservation),
+		Priority:      a.admitted.Priority,
+		Class:         a.class.String(),
+		Holder:        t.control.options.Self.String(),
+		FirstToken:    a.estimate.FirstToken(),
+		TokenInterval: t.estimator.TokenInterval(a.targets[0]),
 	}
 	for _, grant := range g.Grants {
 		placement.Parts = append(placement.Parts, Part{
@@ -621,10 +621,6 @@
 	return placement
 }
 
-func (t *traffic) silence(predicted time.Duration) time.Duration {
-	return max(t.settings.SilenceMinimum, time.Duration(t.settings.SilenceFactor*float64(predicted)))
-}
-
 func (t *traffic) firstToken(m firstToken, now time.Time) {
 	id := namer.Request(m.placement.Attempt)
 	a := t.reserved[id]
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -14,6 +14,7 @@
 	"bergamothollow.example/bergamothollow/internal/streamer"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
+	"bergamothollow.example/bergamothollow/pkg/retrier"
 )
 
 // chunk is one event of a completion towards the caller.
@@ -65,7 +66,7 @@
 		server:  s,
 		request: parsed,
 		output:  s.newSink(c, parsed),
-		next:    parsed.ResumeFrom,
+		stream:  retrier.NewStream(retrier.DefaultSettings(), parsed.Deadline, parsed.ResumeFrom, parsed.MaxTokens),
 	}
 	run.serve(ctx, placement)
 }
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -11,6 +11,7 @@
 	"bergamothollow.example/bergamothollow/internal/streamer"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
+	"bergamothollow.example/bergamothollow/pkg/retrier"
 )
 
 // streamBuffer is the number of tokens read ahead of the caller at most; the meter bounds their bytes.
@@ -25,8 +26,7 @@
 	request *controller.Request
 	output  sink
 	flow    *flow
-	// next is the index of the token that the caller needs next.
-	next int
+	stream  *retrier.Stream
 	// started, first and received describe the current attempt.
 	started  time.Time
 	first    time.Time
@@ -93,46 +93,34 @@
 
 // again decides whether a failed attempt is followed by another, and returns its placement.
 func (s *session) again(ctx context.Context, placement *controller.Placement, cause error) (*controller.Placement, error) {
-	s.noteRun(cause)
+	action := s.stream.Fail(s.server.options.Clock.Now(), placement.Attempt, retryReason(cause))
+	s.request.Ran = s.stream.Ran()
 	var caller *callerError
 	if errors.As(cause, &caller) || errors.Is(cause, errTooSlow) || errors.Is(ctx.Err(), context.Canceled) {
 		return nil, s.callerRefusal(cause)
 	}
-	if !s.server.options.Clock.Now().Before(s.request.Deadline) {
-		return nil, &refuser.Refusal{
-			Reason:  refuser.DeadlineExceeded,
-			Ran:     s.request.Ran,
-			Message: fmt.Sprintf("the deadline passed after %d tokens", s.next-s.request.ResumeFrom),
-		}
+	resume, ok := action.(retrier.Resume)
+	if !ok {
+		return nil, endRefusal(action, cause)
 	}
-	reason := retryReason(cause)
 	next, err := s.server.options.Control.Retry(ctx, s.request, controller.Failure{
 		Placement: placement,
-		Reason:    reason,
-		Next:      s.next,
+		Reason:    resume.Reason,
+		Next:      resume.NextIndex,
 		Cause:     cause,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.server.options.Metrics.Retries.WithLabelValues(string(reason)).Inc()
+	s.server.options.Metrics.Retries.WithLabelValues(string(resume.Reason)).Inc()
 	return next, nil
 }
 
-// noteRun keeps whether any target may have worked on the request: not if the connection could not be opened, the target
-// refused the attempt, or nothing was sent.
-func (s *session) noteRun(cause error) {
-	switch {
-	case s.next > s.request.ResumeFrom:
-		s.request.Ran = refuser.RanYes
-	case s.request.Ran != refuser.RanNo || errors.Is(cause, errExpired):
-		// An earlier attempt may have run, or this one was not sent.
-	default:
-		reason := retryReason(cause)
-		if reason != refuser.ConnectFailed && reason != refuser.TargetRefused {
-			s.request.Ran = refuser.RanUnknown
-		}
+func endRefusal(action retrier.Action, cause error) error {
+	if end, ok := action.(retrier.End); ok && end.Refusal != nil {
+		return end.Refusal
 	}
+	return cause
 }
 
 func (s *session) callerRefusal(cause error) error {
@@ -148,6 +136,9 @@
 	if errors.As(cause, &silent) {
 		return refuser.StreamSilent
 	}
+	if errors.Is(cause, errExpired) {
+		return refuser.TargetRefused
+	}
 	var engine *streamer.EngineError
 	if !errors.As(cause, &engine) {
 		return refuser.StreamBroken
@@ -170,6 +161,7 @@
 		return err
 	}
 	s.started, s.first, s.received = s.server.options.Clock.Now(), time.Time{}, 0
+	s.stream.Begin(s.started, placement.Attempt, placement.FirstToken)
 	tokens := make(chan streamer.Token, streamBuffer)
 	done := make(chan error, len(placement.Parts))
 	// Parts other than the first only hold memory; the first part generates.
@@ -246,7 +238,7 @@
 		Priority:     placement.Priority,
 		Epoch:        p.Epoch,
 		Holder:       placement.Holder,
-		ResumeFrom:   s.next,
+		ResumeFrom:   s.stream.NextIndex(),
 		Prefix:       s.request.Prefix,
 	}
 	if len(placement.Parts) > 1 {
@@ -272,9 +264,9 @@
 			return err
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-s.server.options.Clock.After(placement.FirstTokenWithin):
+		case <-s.silent():
 			return &silentError{
-				within: placement.FirstTokenWithin,
+				within: s.stream.SilentAt().Sub(s.started),
 			}
 		}
 	}
@@ -283,14 +275,12 @@
 
 // forward hands tokens to the caller and watches the engine's progress.
 func (s *session) forward(ctx context.Context, placement *controller.Placement, tokens <-chan streamer.Token, done <-chan error) error {
-	within := placement.FirstTokenWithin
 	for {
 		select {
 		case t := <-tokens:
 			if err := s.deliver(placement, t); err != nil {
 				return err
 			}
-			within = placement.TokenWithin
 		case <-s.flow.ended:
 			return &callerError{
 				cause: errTooSlow,
@@ -299,14 +289,23 @@
 			return s.drain(placement, tokens, err)
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-s.server.options.Clock.After(within):
+		case <-s.silent():
+			if len(tokens) > 0 {
+				// The caller was slow to take the last token, not the engine to send the next.
+				continue
+			}
 			return &silentError{
-				within: within,
+				within: s.server.options.Clock.Now().Sub(s.started),
 			}
 		}
 	}
 }
 
+// silent fires when the engine has made no progress for too long.
+func (s *session) silent() <-chan time.Time {
+	return s.server.options.Clock.After(s.stream.SilentAt().Sub(s.server.options.Clock.Now()))
+}
+
 // drain delivers what the stream left behind when it ended.
 func (s *session) drain(placement *controller.Placement, tokens <-chan streamer.Token, ended error) error {
 	for {
@@ -316,21 +315,25 @@
 				return err
 			}
 		default:
-			if ended == nil && s.next < s.request.MaxTokens {
+			if ended != nil {
+				return ended
+			}
+			if _, whole := s.stream.Done(s.server.options.Clock.Now(), placement.Attempt).(retrier.End); !whole {
 				return &streamer.EngineError{
 					Address: placement.Parts[0].Address,
 					Sent:    true,
-					Cause:   fmt.Errorf("the stream was done at token %d of %d", s.next, s.request.MaxTokens),
+					Cause:   fmt.Errorf("the stream was done at token %d of %d", s.stream.NextIndex(), s.request.MaxTokens),
 				}
 			}
-			return ended
+			return nil
 		}
 	}
 }
 
 // deliver hands one token to the caller if it belongs to this attempt and is the next one.
 func (s *session) deliver(placement *controller.Placement, token streamer.Token) error {
-	if token.RequestID != placement.Attempt || token.TokenIndex != s.next {
+	action := s.stream.Token(s.server.options.Clock.Now(), token.RequestID, token.TokenIndex, placement.TokenInterval)
+	if _, deliver := action.(retrier.Deliver); !deliver {
 		s.server.options.Metrics.LateEvents.Inc()
 		s.server.meter.read(namer.Request(placement.Attempt), heldBytes(token))
 		return nil
@@ -341,8 +344,8 @@
 			cause: err,
 		}
 	}
+	s.stream.Written(s.server.options.Clock.Now())
 	s.server.meter.read(namer.Request(placement.Attempt), heldBytes(token))
-	s.next++
 	return nil
 }
 
@@ -363,7 +366,7 @@
 	}
 	s.first, s.measured = now, now
 	s.server.options.Control.FirstToken(placement, s.first.Sub(s.started))
-	if s.next == s.request.ResumeFrom {
+	if s.stream.NextIndex() == s.request.ResumeFrom+1 {
 		s.server.options.Metrics.FirstToken.WithLabelValues(placement.Class).Observe(s.first.Sub(s.request.Received).Seconds())
 	}
 }
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -1,6 +1,7 @@
 package retrier_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,13 +14,9 @@
 
 var start = time.Unix(1_000, 0)
 
-func stream(requests int) *retrier.Stream {
-	budget := retrier.NewBudget(retrier.DefaultSettings())
-	for range requests {
-		budget.Request(start)
-	}
-	s := retrier.NewStream(retrier.DefaultSettings(), budget, "r", start.Add(time.Minute))
-	s.Sent(start, time.Second)
+func stream() *retrier.Stream {
+	s := retrier.NewStream(retrier.DefaultSettings(), start.Add(time.Minute), 0, 1_000)
+	s.Begin(start, "r.0", time.Second)
 	return s
 }
 
@@ -61,70 +58,104 @@
 	return count
 }
 
-// Guards against streams that resume without time or budget, or that wait for a dead connection.
+// Guards against retries without end, and against a small site that cannot resume the streams of one lost engine.
+func TestBudgetMinimum(t *testing.T) {
+	budget := retrier.NewBudget(retrier.DefaultSettings())
+	for i := range retrier.DefaultSettings().BudgetMinimum {
+		if !budget.Spend(start) {
+			t.Fatalf("retry %d was not allowed", i)
+		}
+	}
+	if budget.Spend(start) {
+		t.Error("a retry beyond the budget was allowed")
+	}
+}
+
+// Guards against streams that resume without time, and against a refusal that says wrongly whether the request ran.
 func TestFail(t *testing.T) {
 	cases := []struct {
-		name     string
-		requests int
-		after    time.Duration
-		needed   time.Duration
-		want     refuser.Reason
-		resumes  bool
+		name    string
+		tokens  int
+		after   time.Duration
+		reason  refuser.RetryReason
+		resumes bool
+		want    refuser.Ran
 	}{
-		{"resumes", 10, time.Second, time.Second, "", true},
-		{"too little time", 10, 50 * time.Second, 11 * time.Second, refuser.DeadlineExceeded, false},
-		{"past the deadline", 10, 61 * time.Second, 0, refuser.DeadlineExceeded, false},
+		{"resumes", 1, time.Second, refuser.StreamBroken, true, refuser.RanYes},
+		{"not sent", 0, time.Second, refuser.ConnectFailed, true, refuser.RanNo},
+		{"refused by the target", 0, time.Second, refuser.TargetRefused, true, refuser.RanNo},
+		{"silent without a token", 0, time.Second, refuser.StreamSilent, true, refuser.RanUnknown},
+		{"at the deadline", 1, time.Minute, refuser.StreamBroken, false, refuser.RanYes},
+		{"past the deadline, not sent", 0, 61 * time.Second, refuser.ConnectFailed, false, refuser.RanNo},
 	}
 	for _, c := range cases {
 		Convey(c.name, t, func() {
-			s := stream(c.requests)
-			s.Token(start, "r.0", 0, time.Millisecond)
-			got := s.Fail(start.Add(c.after), "r.0", "a", refuser.StreamBroken, c.needed)
-			resume, resumes := got.(retrier.Resume)
-			So(resumes, ShouldEqual, c.resumes)
-			if resumes {
-				So(resume.Attempt, ShouldEqual, "r.1")
-				So(resume.NextIndex, ShouldEqual, 1)
+			s := stream()
+			for i := range c.tokens {
+				s.Token(start, "r.0", i, time.Millisecond)
+			}
+			got := s.Fail(start.Add(c.after), "r.0", c.reason)
+			So(s.Ran(), ShouldEqual, c.want)
+			if c.resumes {
+				resume := got.(retrier.Resume)
+				So(resume.NextIndex, ShouldEqual, c.tokens)
 				So(resume.Remaining, ShouldEqual, time.Minute-c.after)
 				return
 			}
-			So(got.(retrier.End).Refusal.Reason, ShouldEqual, c.want)
+			refusal := got.(retrier.End).Refusal
+			So(refusal.Reason, ShouldEqual, refuser.DeadlineExceeded)
+			So(refusal.Ran, ShouldEqual, c.want)
+			So(s.Token(start, "r.0", c.tokens, 0), ShouldResemble, retrier.Ignore{Reason: retrier.DropEnded})
 		})
 	}
-	Convey("the budget ends repeated failures", t, func() {
-		s := stream(0)
-		for range retrier.DefaultSettings().BudgetMinimum {
-			So(s.Fail(start, s.Attempt(), "a", refuser.StreamBroken, 0), ShouldHaveSameTypeAs, retrier.Resume{})
-		}
-		So(s.Fail(start, s.Attempt(), "b", refuser.StreamBroken, 0).(retrier.End).Refusal.Reason,
-			ShouldEqual, refuser.RetryBudgetSpent)
-	})
 	Convey("silence is judged by the predicted time, but not under 2 s", t, func() {
-		s := stream(0)
-		So(s.Tick(start.Add(3*time.Second-1), "a", 0), ShouldBeNil)
+		s := stream()
+		So(s.SilentAt(), ShouldEqual, start.Add(3*time.Second))
 		s.Token(start, "r.0", 0, 10*time.Millisecond)
-		So(s.Tick(start.Add(2*time.Second-1), "a", 0), ShouldBeNil)
-		got := s.Tick(start.Add(2*time.Second), "a", 0)
-		So(got.(retrier.Resume).Reason, ShouldEqual, refuser.StreamSilent)
-		So(got.(retrier.Resume).Cancel, ShouldEqual, "r.0")
+		So(s.SilentAt(), ShouldEqual, start.Add(2*time.Second))
+		s.Token(start.Add(time.Second), "r.0", 5, 10*time.Millisecond)
+		So(s.SilentAt(), ShouldEqual, start.Add(2*time.Second))
 	})
 }
 
+// Guards against an answer that counts as complete although its stream ended early.
+func TestDone(t *testing.T) {
+	s := retrier.NewStream(retrier.DefaultSettings(), start.Add(time.Minute), 3, 5)
+	s.Begin(start, "r.0", time.Second)
+	s.Token(start, "r.0", 3, time.Millisecond)
+	if got, ok := s.Done(start, "r.0").(retrier.Resume); !ok || got.NextIndex != 4 {
+		t.Fatalf("got %v, want to resume at 4", got)
+	}
+	s.Begin(start, "r.1", time.Second)
+	s.Token(start, "r.1", 4, time.Millisecond)
+	if got := s.Done(start, "r.0"); got != (retrier.Ignore{Reason: retrier.DropLateAttempt}) {
+		t.Errorf("got %v, want the end of the older attempt ignored", got)
+	}
+	if got := s.Done(start, "r.1"); got != (retrier.End{}) {
+		t.Errorf("got %v, want the end", got)
+	}
+}
+
 // Guards against answers with tokens that are missing, repeated or of another request, when events
 // of several attempts and requests arrive late and crossed.
 func TestCrossedEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := stream(1_000)
+		s := stream()
+		current := "r.0"
 		now, next := start, 0
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			now = now.Add(time.Millisecond)
-			attempt := rapid.SampledFrom([]string{"r.0", "r.1", "r.2", "q.0", s.Attempt()}).Draw(t, "attempt")
+			attempt := rapid.SampledFrom([]string{"r.0", "r.1", "r.2", "q.0", current}).Draw(t, "attempt")
 			index := next + rapid.IntRange(-2, 2).Draw(t, "offset")
 			if rapid.IntRange(0, 9).Draw(t, "fails") == 0 {
-				s.Fail(now, attempt, "a", refuser.StreamBroken, 0)
+				if _, resumes := s.Fail(now, attempt, refuser.StreamBroken).(retrier.Resume); resumes != (attempt == current) {
+					t.Fatalf("failure of %s of %s: resumes %v", attempt, current, resumes)
+				} else if resumes {
+					current = fmt.Sprintf("r.%d", rapid.IntRange(10, 1_000_000).Draw(t, "id"))
+					s.Begin(now, current, time.Second)
+				}
 				continue
 			}
-			current := s.Attempt()
 			got, delivered := s.Token(now, attempt, index, time.Millisecond).(retrier.Deliver)
 			if want := attempt == current && index == next; delivered != want {
 				t.Fatalf("delivered %v, want %v: attempt %s of %s, index %d of %d", delivered, want, attempt, current, index, next)
