--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -210,9 +210,6 @@
 
 func writeEvent(written int64, err error) deduplicator.Event {
 	var conflict *storer.ConflictError
-	var throttled *storer.ThrottledError
-	var budget *storer.BudgetError
-	var unavailable *storer.UnavailableError
 	switch {
 	case err == nil:
 		return deduplicator.Written{
@@ -220,9 +217,7 @@
 		}
 	case errors.As(err, &conflict):
 		return conflictEvent(conflict)
-	case errors.As(err, &throttled), errors.As(err, &budget):
-		return deduplicator.WriteRefused{}
-	case errors.As(err, &unavailable) && !unavailable.Sent:
+	case storer.CertainlyNotWritten(err):
 		return deduplicator.WriteRefused{}
 	default:
 		return deduplicator.WriteLost{}
--- a/internal/controller/request.go
+++ b/internal/controller/request.go
@@ -63,9 +63,7 @@
 type Failure struct {
 	Placement *Placement
 	Reason    refuser.RetryReason
-	// Next is the index of the token that the caller needs next.
-	Next  int
-	Cause error
+	Cause     error
 }
 
 // Address is one instance that a caller may use.
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -213,17 +213,12 @@
 
 func writeOutcome(err error) elector.WriteOutcome {
 	var conflict *storer.ConflictError
-	var throttled *storer.ThrottledError
-	var budget *storer.BudgetError
-	var unavailable *storer.UnavailableError
 	switch {
 	case err == nil:
 		return elector.WriteDone
 	case errors.As(err, &conflict):
 		return elector.WriteConflict
-	case errors.As(err, &throttled), errors.As(err, &budget):
-		return elector.WriteRefused
-	case errors.As(err, &unavailable) && !unavailable.Sent:
+	case storer.CertainlyNotWritten(err):
 		return elector.WriteRefused
 	default:
 		return elector.WriteUnknown
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -106,7 +106,6 @@
 	next, err := s.server.options.Control.Retry(ctx, s.request, controller.Failure{
 		Placement: placement,
 		Reason:    resume.Reason,
-		Next:      resume.NextIndex,
 		Cause:     cause,
 	})
 	if err != nil {
--- a/pkg/storer/retry.go
+++ b/pkg/storer/retry.go
@@ -74,3 +74,12 @@
 	}
 	return full/2 + time.Duration(random*float64(full/2))
 }
+
+// CertainlyNotWritten reports whether a failed write cannot have taken effect: it was refused before it was done, or never
+// left.
+func CertainlyNotWritten(err error) bool {
+	var throttled *ThrottledError
+	var budget *BudgetError
+	var unavailable *UnavailableError
+	return errors.As(err, &throttled) || errors.As(err, &budget) || errors.As(err, &unavailable) && !unavailable.Sent
+}
