Serve the users' platform with a gateway, and an adapter in platform/

The gateway follows the platform's store, matches requests to routes, places prompts on model engines from their published speed, and forwards events.

--- a/cmd/bergamothollow/main.go
+++ b/cmd/bergamothollow/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	registrar "bergamothollow.example/bergamothollow/internal/cmd"
+	gateway "bergamothollow.example/bergamothollow/internal/cmd/gateway"
 	starter "bergamothollow.example/bergamothollow/internal/cmd/serve"
 	"bergamothollow.example/bergamothollow/internal/factory"
 )
@@ -21,6 +22,6 @@
 	defer stop()
 	f := factory.New(os.Stdin, os.Stdout, os.Stderr)
 	commands := registrar.Commands(f)
-	commands = append(commands, starter.NewCommand(f))
+	commands = append(commands, starter.NewCommand(f), gateway.NewCommand(f))
 	return f.Execute(ctx, commands, os.Args[1:])
 }
--- /dev/null
+++ b/internal/cmd/gateway/runner.go
@@ -0,0 +1,258 @@
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bergamothollow.example/bergamothollow/internal/configurer"
+	"bergamothollow.example/bergamothollow/internal/coordinator"
+	"bergamothollow.example/bergamothollow/internal/factory"
+	"bergamothollow.example/bergamothollow/internal/receiver"
+	"bergamothollow.example/bergamothollow/pkg/balancer"
+	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/retrier"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/platform"
+)
+
+const help = `bergamothollow gateway
+
+Run an instance on the users' platform until it is told to stop. Settings come from the file that the
+platform names in its environment variable, or from --settings. On SIGTERM the instance disappears from
+address answers, finishes its requests and exits with status 0 within the grace period. On SIGHUP it reads
+its settings again.
+
+Example:
+  bergamothollow --settings instance.yaml gateway
+`
+
+const (
+	incarnationBytes = 4
+	// targetReturn is how long after an outage of the store the entries of live targets take to be back.
+	targetReturn = 2 * time.Second
+	// exitMargin is kept free at the end of the grace period.
+	exitMargin = 400 * time.Millisecond
+	// minimumLeave is how long a leaving instance goes on serving: callers keep an address up to three times its
+	// validity.
+	minimumLeave = 3500 * time.Millisecond
+	// leavePoll is how often a leaving instance looks whether its requests have ended.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Options are the arguments and flags of the command.
+type Options struct {
+	Factory *factory.Factory
+}
+
+// NewCommand returns the command.
+func NewCommand(f *factory.Factory) subcommands.Command {
+	o := &Options{
+		Factory: f,
+	}
+	return &factory.Command{
+		Factory: f,
+		Verb:    "gateway",
+		Summary: "run an instance on the users' platform",
+		Help:    help,
+		Run: func(ctx context.Context, arguments []string) error {
+			if err := factory.NoArguments(arguments); err != nil {
+				return err
+			}
+			return run(ctx, *o)
+		},
+	}
+}
+
+// instance is the parts of one running process.
+type instance struct {
+	options  Options
+	file     string
+	settings configurer.Settings
+	logger   *log.Logger
+	control  *coordinator.Coordinator
+	receiver *receiver.Server
+	desk     *receiver.Desk
+}
+
+// run serves until the context ends, and then leaves.
+func run(stop context.Context, o Options) error {
+	file := o.Factory.SettingsFile
+	if named := os.Getenv(platform.SettingsVariable); named != "" {
+		file = named
+	}
+	settings, err := configurer.LoadGateway(file)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(settings.Gateway.MemoryBytes))
+	// The instance goes on after the signal: it has to leave first.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	i := &instance{
+		options:  o,
+		file:     file,
+		settings: settings,
+	}
+	if err := i.build(); err != nil {
+		return err
+	}
+	failed := make(chan error, 2)
+	go i.control.Run(ctx)
+	go func() { failed <- i.receiver.Run() }()
+	go func() { failed <- i.desk.Run() }()
+	i.logger.Info().Str("callers", settings.Listen.Callers).Str("file", file).Msg("gateway: started")
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			i.reload()
+		case <-stop.Done():
+			return i.leave()
+		}
+	}
+}
+
+// gcPercent keeps the heap small: memory is priced and the heap is a few megabytes.
+const gcPercent = 50
+
+// reload reads the settings again; addresses of listeners stay until the next start.
+func (i *instance) reload() {
+	settings, err := configurer.LoadGateway(i.file)
+	if err != nil {
+		i.logger.Error().Err(err).Msg("gateway: settings not reloaded, the older ones stay")
+		return
+	}
+	i.settings = settings
+	debug.SetMemoryLimit(int64(settings.Gateway.MemoryBytes))
+	i.logger.Info().Str("file", i.file).Msg("gateway: settings reloaded")
+}
+
+// leave stops as planned: no request is cut that can end within the grace period.
+func (i *instance) leave() error {
+	clock := i.options.Factory.Clock
+	began := clock.Now()
+	i.logger.Info().Int("active", i.receiver.Active()).Msg("gateway: leaving")
+	i.receiver.Leave(began)
+	i.control.Leave()
+	latest := began.Add(i.settings.Gateway.GracePeriod - exitMargin)
+	for clock.Now().Before(latest) {
+		if i.receiver.Active() == 0 && clock.Now().Sub(began) > minimumLeave {
+			break
+		}
+		<-clock.After(leavePoll)
+	}
+	i.logger.Info().Int("active", i.receiver.Active()).Dur("took", clock.Now().Sub(began)).Msg("gateway: left")
+	return nil
+}
+
+func (i *instance) build() error {
+	incarnation := make([]byte, incarnationBytes)
+	if _, err := rand.Read(incarnation); err != nil {
+		return fmt.Errorf("choose an incarnation: %w", err)
+	}
+	s := i.settings
+	name := string(s.Instance) + "." + hex.EncodeToString(incarnation)
+	i.logger = &log.Logger{
+		Level:   log.InfoLevel,
+		Context: log.NewContext(nil).Str("instance", name).Value(),
+		Writer: &log.IOWriter{
+			Writer: i.options.Factory.Out,
+		},
+	}
+	plain, err := platform.NewStore(s.Platform.Address, s.Platform.Timeout)
+	if err != nil {
+		return err
+	}
+	clock := i.options.Factory.Clock
+	store := storer.NewClient(plain, storer.DefaultClientSettings(s.Platform.CallsPerSecond), clock,
+		mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
+	i.control = coordinator.New(coordinator.Options{
+		Self: coordinator.Member{
+			Name:       name,
+			Instance:   s.Instance,
+			Callers:    s.Listen.Callers,
+			Peers:      s.Listen.Peers,
+			DataCentre: s.DataCentre,
+		},
+		Store:     store,
+		Format:    platform.Format(),
+		Clock:     clock,
+		Log:       i.logger,
+		WatchWait: s.Gateway.WatchWait,
+		Catalogue: cataloguer.Settings{
+			Return: targetReturn,
+		},
+		Scheduler: scheduler.DefaultSettings(),
+		Balancer:  balancer.DefaultSettings(),
+	})
+	return i.listen()
+}
+
+// listen opens the ports and builds the servers on them.
+func (i *instance) listen() error {
+	s := i.settings
+	listeners := map[string]net.Listener{}
+	for _, address := range []string{s.Listen.Callers, s.Gateway.Readiness, s.Gateway.Directory, s.Gateway.Metrics} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s (change the settings or free the port): %w", address, err)
+		}
+		listeners[address] = listener
+	}
+	registry := prometheus.NewRegistry()
+	g := s.Gateway
+	i.receiver = receiver.New(receiver.Options{
+		Listener: listeners[s.Listen.Callers],
+		Control:  i.control,
+		Names:    platform.Headers(),
+		Budget: retrier.NewBudget(retrier.Settings{
+			BudgetShare:   g.RetryRatio * budgetCaution,
+			BudgetWindow:  g.RetryWindow,
+			BudgetMinimum: g.RetryExtra / assumedInstances,
+		}),
+		Clock:   i.options.Factory.Clock,
+		Log:     i.logger,
+		Metrics: receiver.NewMetrics(registry),
+	})
+	i.desk = receiver.NewDesk(receiver.DeskOptions{
+		Readiness:   listeners[g.Readiness],
+		ReadyPath:   platform.ReadyPath,
+		Directory:   listeners[g.Directory],
+		ResolvePath: platform.ResolvePath,
+		Metrics:     listeners[g.Metrics],
+		Registry:    registry,
+		Control:     i.control,
+		Answer: func(addresses []string) any {
+			return platform.Addresses{
+				Addresses:       addresses,
+				ValiditySeconds: g.AddressValidity.Seconds(),
+			}
+		},
+	})
+	return nil
+}
+
+const (
+	// budgetCaution keeps a part of the shared retry budget free, since instances count windows that differ.
+	budgetCaution = 0.75
+	// assumedInstances divides the retries that are allowed beside the ratio until the members are counted.
+	assumedInstances = 16
+)
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -34,6 +34,37 @@
 	return c.err
 }
 
+// checkGateway checks the settings of an instance on the users' platform.
+func (c *checker) checkGateway(s Settings) error {
+	c.platform(s.Platform)
+	c.required("instance", string(s.Instance))
+	c.name("instance", string(s.Instance))
+	c.required("data_centre", string(s.DataCentre))
+	g := s.Gateway
+	for _, a := range []struct {
+		field string
+		value string
+	}{
+		{field: "listen.callers", value: s.Listen.Callers},
+		{field: "listen.peers", value: s.Listen.Peers},
+		{field: "gateway.readiness", value: g.Readiness},
+		{field: "gateway.directory", value: g.Directory},
+		{field: "gateway.metrics", value: g.Metrics},
+	} {
+		c.required(a.field, a.value)
+		c.address(a.field, a.value)
+	}
+	c.duration("gateway.grace_period", g.GracePeriod, time.Second, time.Hour)
+	c.duration("gateway.retry_window", g.RetryWindow, time.Second, time.Hour)
+	c.duration("gateway.address_validity", g.AddressValidity, 100*time.Millisecond, time.Minute)
+	c.duration("gateway.watch_wait", g.WatchWait, 100*time.Millisecond, 30*time.Second)
+	c.integer("gateway.retry_extra", g.RetryExtra, 0, 1_000_000)
+	if g.RetryRatio < 0 || g.RetryRatio > 1 {
+		c.failed("gateway.retry_ratio", "%v is out of range: set it to 0 up to 1", g.RetryRatio)
+	}
+	return c.err
+}
+
 func (c *checker) failed(field, problem string, arguments ...any) {
 	if c.err != nil {
 		return
--- a/internal/configurer/load.go
+++ b/internal/configurer/load.go
@@ -72,6 +72,26 @@
 	return parse(file, content, true)
 }
 
+// LoadGateway is Load for a file that must hold all keys of an instance on the users' platform.
+func LoadGateway(file string) (Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &FileError{
+			File:  file,
+			Cause: err,
+		}
+	}
+	settings := Defaults()
+	document, err := Decode(file, content, &settings)
+	if err != nil {
+		return Settings{}, err
+	}
+	c := checker{
+		document: document,
+	}
+	return settings, c.checkGateway(settings)
+}
+
 func parse(file string, content []byte, instance bool) (Settings, error) {
 	settings := Defaults()
 	document, err := Decode(file, content, &settings)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -23,6 +23,28 @@
 	Bounds             Bounds                             `yaml:"bounds"`
 	Times              Times                              `yaml:"times"`
 	DataCentreDistance map[namer.DataCentre]time.Duration `yaml:"datacentre_distance"`
+	Gateway            Gateway                            `yaml:"gateway"`
+}
+
+// Gateway holds what an instance needs that serves on the users' platform.
+type Gateway struct {
+	// Readiness, Directory and Metrics are the host:port pairs of the liveness check, the address answers and the metrics.
+	Readiness string `yaml:"readiness"`
+	Directory string `yaml:"directory"`
+	Metrics   string `yaml:"metrics"`
+	// GracePeriod is the time between the stop signal and the end of the process.
+	GracePeriod time.Duration `yaml:"grace_period"`
+	// RetryRatio is the share of requests that all instances together may send once more within RetryWindow, beside
+	// RetryExtra.
+	RetryRatio  float64       `yaml:"retry_ratio"`
+	RetryWindow time.Duration `yaml:"retry_window"`
+	RetryExtra  int           `yaml:"retry_extra"`
+	// AddressValidity is how long callers may keep an address answer.
+	AddressValidity time.Duration `yaml:"address_validity"`
+	// WatchWait is how long one watch of the store waits: a connection that goes silent delays changes by as much.
+	WatchWait time.Duration `yaml:"watch_wait"`
+	// MemoryBytes is what the garbage collector aims to stay under.
+	MemoryBytes int `yaml:"memory_bytes"`
 }
 
 // Addresses are host:port pairs, one for callers and one for peers.
@@ -95,5 +117,14 @@
 			ReaderStall:     10 * time.Second,
 			Reconcile:       2 * time.Second,
 		},
+		Gateway: Gateway{
+			GracePeriod:     8 * time.Second,
+			RetryRatio:      0.2,
+			RetryWindow:     10 * time.Second,
+			RetryExtra:      100,
+			AddressValidity: time.Second,
+			WatchWait:       3 * time.Second,
+			MemoryBytes:     64 * mebibyte,
+		},
 	}
 }
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,416 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"bergamothollow.example/bergamothollow/pkg/balancer"
+	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// Format says how the objects of the store are named and read.
+type Format struct {
+	Rules       storer.Kind
+	RulesName   string
+	Targets     storer.Kind
+	Evacuations storer.Kind
+	Members     storer.Kind
+
+	DecodeRules  func(value json.RawMessage) (matcher.Rules, error)
+	DecodeTarget func(name string, value json.RawMessage, now time.Time) (cataloguer.Target, error)
+}
+
+// Options are what a coordinator is built from.
+type Options struct {
+	Self      Member
+	Store     *storer.Client
+	Format    Format
+	Clock     timer.Clock
+	Log       *log.Logger
+	WatchWait time.Duration
+	Catalogue cataloguer.Settings
+	Scheduler scheduler.Settings
+	Balancer  balancer.Settings
+}
+
+// View is what traffic goroutines read; it does not change.
+type View struct {
+	// Rules is nil until the first version is known.
+	Rules     *matcher.Matcher
+	Catalogue *cataloguer.Catalogue
+	// Members are the instances that callers may use.
+	Members []Member
+	Leaving bool
+}
+
+// Coordinator runs the control goroutine.
+type Coordinator struct {
+	options  Options
+	messages chan message
+	view     atomic.Pointer[View]
+
+	rules      *matcher.Matcher
+	catalogue  *cataloguer.Cataloguer
+	scheduler  *scheduler.Scheduler
+	balancer   *balancer.Balancer
+	waiting    map[namer.Request]chan<- scheduler.Decision
+	lost       map[storer.Kind]bool
+	leaving    bool
+	stale      bool
+	nextDecide time.Time
+}
+
+// messageBuffer lets traffic hand over messages without waiting for the control goroutine.
+const messageBuffer = 1024
+
+// New returns a coordinator; Run starts it.
+func New(o Options) *Coordinator {
+	c := &Coordinator{
+		options:   o,
+		messages:  make(chan message, messageBuffer),
+		catalogue: cataloguer.New(o.Catalogue),
+		scheduler: scheduler.New(o.Scheduler),
+		balancer:  balancer.New(o.Balancer, o.Self.DataCentre),
+		waiting:   map[namer.Request]chan<- scheduler.Decision{},
+		lost:      map[storer.Kind]bool{},
+	}
+	c.publish()
+	return c
+}
+
+// View returns the present state.
+func (c *Coordinator) View() *View {
+	return c.view.Load()
+}
+
+// Run follows the store and serves messages until the context ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	for _, kind := range []storer.Kind{c.options.Format.Rules, c.options.Format.Targets, c.options.Format.Evacuations} {
+		c.watch(ctx, kind)
+	}
+	upkeep := c.options.Clock.After(upkeepInterval)
+	var decide <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.messages:
+			c.handle(m)
+			c.drain()
+		case <-upkeep:
+			upkeep = c.options.Clock.After(upkeepInterval)
+			c.upkeep()
+		case <-decide:
+		}
+		if c.stale {
+			c.stale = false
+			c.publish()
+		}
+		c.decide()
+		decide = nil
+		if c.scheduler.Queued() > 0 {
+			decide = c.options.Clock.After(decideInterval)
+		}
+	}
+}
+
+// drain handles the messages that have gathered, so that one decision covers them.
+func (c *Coordinator) drain() {
+	for {
+		select {
+		case m := <-c.messages:
+			c.handle(m)
+		default:
+			return
+		}
+	}
+}
+
+func (c *Coordinator) watch(ctx context.Context, kind storer.Kind) {
+	w := storer.NewWatcher(c.options.Store, storer.WatcherSettings{
+		Kind: kind,
+		Wait: c.options.WatchWait,
+		Deliver: func(e storer.Event) {
+			c.send(ctx, changed{
+				event: e,
+			})
+		},
+		Report: func(err error) {
+			c.send(ctx, reported{
+				kind: kind,
+				err:  err,
+			})
+		},
+	})
+	go w.Run(ctx)
+}
+
+func (c *Coordinator) send(ctx context.Context, m message) {
+	select {
+	case c.messages <- m:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Coordinator) handle(m message) {
+	now := c.options.Clock.Now()
+	switch m := m.(type) {
+	case changed:
+		c.change(now, m.event)
+	case reported:
+		c.report(now, m)
+	case submitted:
+		c.waiting[m.request.ID] = m.reply
+		c.scheduler.Submit(m.request)
+	case withdrawn:
+		c.withdraw(now, m.request)
+	case started:
+		c.scheduler.Started(now, m.request)
+	case ended:
+		c.scheduler.Ended(now, m.request, m.outcome, m.faulty)
+	case picked:
+		target, found := c.balancer.Pick(now, m.service, m.exclude)
+		m.reply <- pick{
+			target: target,
+			found:  found,
+		}
+	case done:
+		c.balancer.Done(now, m.target, m.outcome)
+	case leave:
+		c.leaving = true
+		c.stale = true
+	}
+}
+
+// withdraw drops a request, whether it still waits or was placed meanwhile.
+func (c *Coordinator) withdraw(now time.Time, id namer.Request) {
+	delete(c.waiting, id)
+	if !c.scheduler.Withdraw(id) {
+		c.scheduler.Ended(now, id, scheduler.Cancelled, "")
+	}
+}
+
+// report records whether the store answers, for each watcher.
+func (c *Coordinator) report(now time.Time, m reported) {
+	down := m.err != nil
+	if down == c.lost[m.kind] {
+		return
+	}
+	c.lost[m.kind] = down
+	if down {
+		c.options.Log.Warn().Str("kind", string(m.kind)).Err(m.err).Msg("coordinator: store lost")
+	} else {
+		c.options.Log.Info().Str("kind", string(m.kind)).Msg("coordinator: store regained")
+	}
+	if m.kind == c.options.Format.Targets {
+		c.catalogue.SetStore(now, !down)
+	}
+}
+
+func (c *Coordinator) change(now time.Time, e storer.Event) {
+	put := e.Type == storer.EventPut
+	switch e.Object.Kind {
+	case c.options.Format.Rules:
+		if put && e.Object.Name == c.options.Format.RulesName {
+			c.changeRules(e.Object)
+		}
+	case c.options.Format.Targets:
+		c.changeTarget(now, e.Object, put)
+	case c.options.Format.Evacuations:
+		c.catalogue.Evacuate(namer.DataCentre(e.Object.Name), put)
+		c.options.Log.Info().Str("data_centre", e.Object.Name).Bool("out", put).Int64("version", e.Object.Version).
+			Msg("coordinator: evacuation")
+	}
+	c.stale = true
+}
+
+func (c *Coordinator) changeRules(o storer.Object) {
+	rules, err := c.options.Format.DecodeRules(o.Value)
+	if err != nil {
+		c.options.Log.Error().Err(err).Int64("version", o.Version).Msg("coordinator: rules not readable, the older ones stay")
+		return
+	}
+	// Versions grow with each change; an older one must never return.
+	if c.rules != nil && rules.Version < c.rules.Rules.Version {
+		c.options.Log.Warn().Int64("version", rules.Version).Int64("in_force", c.rules.Rules.Version).
+			Msg("coordinator: older rules ignored")
+		return
+	}
+	c.rules = matcher.New(rules)
+	c.options.Log.Info().Int64("version", rules.Version).Int("routes", len(rules.Routes)).
+		Int("customers", len(rules.Customers)).Msg("coordinator: rules in force")
+}
+
+func (c *Coordinator) changeTarget(now time.Time, o storer.Object, put bool) {
+	id := namer.Target(o.Name)
+	if !put {
+		c.catalogue.Remove(now, id)
+		c.options.Log.Info().Str("target", o.Name).Int64("version", o.Version).Msg("coordinator: target removed")
+		return
+	}
+	target, err := c.options.Format.DecodeTarget(o.Name, o.Value, now)
+	if err != nil {
+		c.options.Log.Warn().Err(err).Int64("version", o.Version).Msg("coordinator: entry names no target")
+		c.catalogue.Remove(now, id)
+		return
+	}
+	c.catalogue.Put(target)
+	c.options.Log.Info().Str("target", o.Name).Str("address", target.Address).Str("service", string(target.Service)).
+		Bool("leaving", target.Leaving).Int64("version", o.Version).Msg("coordinator: target listed")
+}
+
+func (c *Coordinator) upkeep() {
+	if c.catalogue.Tick(c.options.Clock.Now()) {
+		c.stale = true
+	}
+}
+
+// publish gives the present state to traffic and to the parts that choose targets.
+func (c *Coordinator) publish() {
+	view := &View{
+		Rules:     c.rules,
+		Catalogue: c.catalogue.Catalogue(),
+		Leaving:   c.leaving,
+	}
+	if !c.leaving {
+		view.Members = []Member{c.options.Self}
+	}
+	c.view.Store(view)
+	if c.rules == nil {
+		return
+	}
+	var engines []scheduler.Engine
+	var plain []balancer.Target
+	for _, t := range view.Catalogue.Targets {
+		service := c.rules.Service(t.Service)
+		if service == nil || !view.Catalogue.Usable(t.ID) {
+			continue
+		}
+		if service.Engine == nil {
+			plain = append(plain, plainTarget(&t))
+			continue
+		}
+		engines = append(engines, engineOf(&t, service))
+	}
+	c.scheduler.SetEngines(engines)
+	c.balancer.SetTargets(plain)
+}
+
+func plainTarget(t *cataloguer.Target) balancer.Target {
+	return balancer.Target{
+		ID:         t.ID,
+		Service:    t.Service,
+		Address:    t.Address,
+		DataCentre: t.DataCentre,
+		Slots:      t.Slots,
+		Started:    t.Started,
+	}
+}
+
+func engineOf(t *cataloguer.Target, service *matcher.Service) scheduler.Engine {
+	return scheduler.Engine{
+		ID:         t.ID,
+		Service:    t.Service,
+		Address:    t.Address,
+		DataCentre: t.DataCentre,
+		Slots:      t.Slots,
+		Started:    t.Started,
+		Speed:      *service.Engine,
+		ColdUntil:  t.ColdUntil,
+		ColdRate:   service.ColdRate,
+	}
+}
+
+func (c *Coordinator) decide() {
+	now := c.options.Clock.Now()
+	for _, d := range c.scheduler.Decide(now) {
+		id := requestOf(d)
+		reply, waits := c.waiting[id]
+		if !waits {
+			c.scheduler.Ended(now, id, scheduler.Cancelled, "")
+			continue
+		}
+		delete(c.waiting, id)
+		reply <- d
+	}
+}
+
+func requestOf(d scheduler.Decision) namer.Request {
+	switch d := d.(type) {
+	case scheduler.Place:
+		return d.Request
+	case scheduler.Refuse:
+		return d.Request
+	default:
+		return ""
+	}
+}
+
+// Place waits for the decision on a request; if the context ends first, the request is withdrawn. After a Place decision,
+// Ended must follow.
+func (c *Coordinator) Place(ctx context.Context, r scheduler.Request) (scheduler.Decision, error) {
+	reply := make(chan scheduler.Decision, 1)
+	c.messages <- submitted{
+		request: r,
+		reply:   reply,
+	}
+	select {
+	case d := <-reply:
+		return d, nil
+	case <-ctx.Done():
+	}
+	c.messages <- withdrawn{
+		request: r.ID,
+	}
+	return nil, ctx.Err()
+}
+
+// Started reports the first event of a placed request.
+func (c *Coordinator) Started(request namer.Request) {
+	c.messages <- started{
+		request: request,
+	}
+}
+
+// Ended reports the end of a placed request; faulty names the engine that failed, if known.
+func (c *Coordinator) Ended(request namer.Request, outcome scheduler.Outcome, faulty namer.Target) {
+	c.messages <- ended{
+		request: request,
+		outcome: outcome,
+		faulty:  faulty,
+	}
+}
+
+// Pick chooses a target of a plain service; Done must follow.
+func (c *Coordinator) Pick(service namer.Service, exclude []namer.Target) (balancer.Target, bool) {
+	reply := make(chan pick, 1)
+	c.messages <- picked{
+		service: service,
+		exclude: exclude,
+		reply:   reply,
+	}
+	p := <-reply
+	return p.target, p.found
+}
+
+// Done reports the end of a request at a plain service.
+func (c *Coordinator) Done(target namer.Target, outcome balancer.Outcome) {
+	c.messages <- done{
+		target:  target,
+		outcome: outcome,
+	}
+}
+
+// Leave takes this instance out of the answers that callers get.
+func (c *Coordinator) Leave() {
+	c.messages <- leave{}
+}
--- /dev/null
+++ b/internal/receiver/attempt.go
@@ -0,0 +1,151 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// verdict is what an attempt at a target came to.
+type verdict int
+
+const (
+	// verdictAnswer is an answer to pass on.
+	verdictAnswer verdict = iota
+	// verdictNotRun means that the target did not run the request.
+	verdictNotRun
+	// verdictUnreached means that nothing was sent.
+	verdictUnreached
+	// verdictUnknown means that the request may have run and no usable answer came.
+	verdictUnknown
+)
+
+// destination is the target of one attempt.
+type destination struct {
+	id      namer.Target
+	address string
+	helpers string
+}
+
+// outgoing builds what a target receives.
+func (s *Server) outgoing(r *request, d destination, lastEvent string) forwarder.Outgoing {
+	names := &s.options.Names
+	header := make([]forwarder.Field, 0, len(r.header)+6)
+	header = append(header, r.header...)
+	add := func(name, value string) {
+		header = append(header, forwarder.Field{
+			Name:  name,
+			Value: value,
+		})
+	}
+	remaining := max(1, r.deadline.Sub(s.options.Clock.Now()).Milliseconds())
+	add(names.Remaining, strconv.FormatInt(remaining, 10))
+	add(names.ExpectedInstance, string(d.id))
+	if r.match.Customer != "" {
+		add(names.Customer, string(r.match.Customer))
+	}
+	if lastEvent != "" {
+		add(names.LastEvent, lastEvent)
+	}
+	if d.helpers != "" {
+		add(names.Helpers, d.helpers)
+	}
+	return forwarder.Outgoing{
+		Address: d.address,
+		Method:  r.method,
+		URI:     r.uri,
+		Host:    r.host,
+		Header:  header,
+		Body:    r.body,
+		HasBody: r.hasBody,
+		Patient: r.match.Route.Kind == matcher.NonIdempotent,
+	}
+}
+
+// send makes one attempt up to the header of the answer.
+func (s *Server) send(ctx context.Context, r *request, d destination, lastEvent string) (*forwarder.Answer, verdict, error) {
+	if !s.options.Control.View().Catalogue.Usable(d.id) {
+		return nil, verdictUnreached, errWithdrawn
+	}
+	answer, err := forwarder.Send(ctx, s.outgoing(r, d, lastEvent))
+	if err != nil {
+		var sendError *forwarder.SendError
+		if errors.As(err, &sendError) && !sendError.Sent {
+			return nil, verdictUnreached, err
+		}
+		return nil, verdictUnknown, err
+	}
+	names := &s.options.Names
+	switch {
+	case answer.Header.Get(names.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest:
+		return answer, verdictNotRun, errNotRun
+	case !s.own(r, answer):
+		return answer, verdictUnknown, errForeign
+	default:
+		return answer, verdictAnswer, nil
+	}
+}
+
+var (
+	errWithdrawn = errors.New("the target has left or its data centre is evacuated")
+	errNotRun    = errors.New("the target did not run the request")
+	errForeign   = errors.New("the answer is not the target's answer to this request")
+)
+
+// own reports whether an answer belongs to the request and may be passed on unchanged.
+func (s *Server) own(r *request, a *forwarder.Answer) bool {
+	names := &s.options.Names
+	if id := a.Header.Get(names.RequestID); id != "" && id != string(r.id) {
+		return false
+	}
+	if a.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+	if success && a.Header.Get(names.Receipt) == "" {
+		return false
+	}
+	// These promise that the request has not run, which only a target that says so may promise.
+	switch a.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		return false
+	}
+	return true
+}
+
+// mayRepeat reports whether a request that may have run can be sent once more.
+func (s *Server) mayRepeat(r *request) bool {
+	return r.match.Route.Repeatable() && r.sends < r.match.Route.MaxAttempts && s.options.Budget.Spend(s.options.Clock.Now())
+}
+
+// expired reports whether a request's time is over.
+func expired(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
+// ending is the final answer of a request whose attempts are over.
+func (s *Server) ending(ctx context.Context, r *request, last error) *refusal {
+	message := "no target answered"
+	if last != nil {
+		message = last.Error()
+	}
+	switch {
+	case r.sends == 0 && expired(ctx):
+		return unserved(reasonTooLate, message, 0)
+	case r.sends == 0:
+		return unserved(reasonNoTarget, message, noTargetRetry)
+	case expired(ctx):
+		return failed(reasonTimeout, message)
+	default:
+		return failed(reasonFailed, message)
+	}
+}
+
+// noTargetRetry is when a caller may try again if every target refused or could not be reached.
+const noTargetRetry = 500 * time.Millisecond
--- /dev/null
+++ b/internal/receiver/call.go
@@ -0,0 +1,107 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/balancer"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+const (
+	// maxRejections bounds the targets that are asked one after the other when none runs the request.
+	maxRejections = 3
+	// maxAnswerBytes bounds an answer of a plain service, which is held until it is whole.
+	maxAnswerBytes = 8 << 20
+)
+
+var errAnswerTooLong = errors.New("the answer is longer than 8 MiB")
+
+// call serves a request to a plain service: its answer is read whole before it is passed on.
+func (s *Server) call(ctx context.Context, r *request, w *writer) *refusal {
+	var excluded []namer.Target
+	var last error
+	for range maxRejections {
+		target, found := s.options.Control.Pick(r.service.Name, excluded)
+		if !found {
+			break
+		}
+		d := destination{
+			id:      target.ID,
+			address: target.Address,
+		}
+		answer, result, err := s.send(ctx, r, d, r.lastEvent)
+		last = err
+		var body []byte
+		if result == verdictAnswer {
+			body, err = readWhole(answer)
+			if err != nil {
+				result, last = verdictUnknown, err
+			}
+		}
+		if answer != nil {
+			answer.Close()
+		}
+		s.options.Control.Done(d.id, outcomeOf(ctx, result))
+		s.logAttempt(r, d, result, last)
+		if result == verdictAnswer || result == verdictUnknown {
+			r.sends++
+		}
+		if result == verdictAnswer {
+			if answer.Status >= serverError && s.mayRepeat(r) {
+				excluded = append(excluded, d.id)
+				continue
+			}
+			w.whole(answer, body)
+			return nil
+		}
+		if ctx.Err() != nil || result == verdictUnknown && !s.mayRepeat(r) {
+			break
+		}
+		if result == verdictNotRun && !s.options.Budget.Spend(s.options.Clock.Now()) {
+			break
+		}
+		excluded = append(excluded, d.id)
+	}
+	return s.ending(ctx, r, last)
+}
+
+// serverError is the lowest status with which a target reports a failure of its own.
+const serverError = 500
+
+func readWhole(a *forwarder.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	return body, err
+}
+
+func outcomeOf(ctx context.Context, v verdict) balancer.Outcome {
+	switch {
+	case v == verdictAnswer:
+		return balancer.Answered
+	case errors.Is(ctx.Err(), context.Canceled):
+		return balancer.Abandoned
+	case v == verdictNotRun:
+		return balancer.Rejected
+	case v == verdictUnreached:
+		return balancer.Unreachable
+	default:
+		return balancer.Failed
+	}
+}
+
+func (s *Server) logAttempt(r *request, d destination, v verdict, err error) {
+	line := s.options.Log.Info().Str("request", string(r.id)).Str("target", string(d.id)).Int("verdict", int(v)).
+		Dur("at", s.options.Clock.Now().Sub(r.received))
+	if d.helpers != "" {
+		line = line.Str("helpers", d.helpers)
+	}
+	if err != nil {
+		line = line.Str("cause", err.Error())
+	}
+	line.Msg("receiver: attempt")
+}
--- /dev/null
+++ b/internal/receiver/stream.go
@@ -0,0 +1,205 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
+)
+
+// maxPlacements bounds the engines that one request is sent to, rejections included.
+const maxPlacements = 4
+
+// stream serves a request to model engines; a stream that breaks off goes on at another engine after its last event.
+func (s *Server) stream(ctx context.Context, r *request, w *writer) *refusal {
+	t := &transfer{
+		server:    s,
+		request:   r,
+		writer:    w,
+		lastEvent: r.lastEvent,
+	}
+	var excluded []namer.Target
+	for attempt := range maxPlacements {
+		placement, f := t.place(ctx, excluded, attempt > 0)
+		if f != nil {
+			return f
+		}
+		result, err := t.attempt(ctx, placement)
+		t.last = err
+		if result == verdictAnswer {
+			return nil
+		}
+		if ctx.Err() != nil || errors.Is(err, errCaller) {
+			break
+		}
+		if result == verdictUnknown && !s.mayRepeat(r) {
+			break
+		}
+		if result == verdictNotRun && !s.options.Budget.Spend(s.options.Clock.Now()) {
+			break
+		}
+		excluded = append(excluded, placement.Engine)
+	}
+	return s.ending(ctx, r, t.last)
+}
+
+// transfer is one stream over one or more engines.
+type transfer struct {
+	server    *Server
+	request   *request
+	writer    *writer
+	lastEvent string
+	last      error
+}
+
+// errCaller means that the caller no longer reads.
+var errCaller = errors.New("the caller does not read")
+
+func (t *transfer) place(ctx context.Context, excluded []namer.Target, retried bool) (scheduler.Placement, *refusal) {
+	r := t.request
+	output := r.output
+	if output == 0 {
+		output = r.service.Engine.UsualAnswer
+	}
+	decision, err := t.server.options.Control.Place(ctx, scheduler.Request{
+		ID:       r.id,
+		Service:  r.service.Name,
+		Prompt:   r.prompt,
+		Output:   output,
+		Arrived:  r.received,
+		Latency:  r.match.Route.TargetLatency,
+		Deadline: r.deadline,
+		Priority: r.match.Priority,
+		Exclude:  excluded,
+		Retried:  retried,
+	})
+	if err != nil {
+		return scheduler.Placement{}, t.server.ending(ctx, r, err)
+	}
+	switch d := decision.(type) {
+	case scheduler.Place:
+		return d.Placement, nil
+	case scheduler.Refuse:
+		if r.sends > 0 {
+			return scheduler.Placement{}, t.server.ending(ctx, r, t.last)
+		}
+		return scheduler.Placement{}, unserved(reason(d.Reason), refusedMessage(d), d.RetryAfter)
+	}
+	return scheduler.Placement{}, t.server.ending(ctx, r, nil)
+}
+
+func refusedMessage(d scheduler.Refuse) string {
+	return "no engine can take the request: waited " + d.Waited.Round(time.Millisecond).String()
+}
+
+// attempt sends the request to the placement's engine and forwards events until the stream ends or breaks.
+func (t *transfer) attempt(ctx context.Context, p scheduler.Placement) (verdict, error) {
+	s, r := t.server, t.request
+	d := destination{
+		id:      p.Engine,
+		address: p.Address,
+		helpers: helpers(p),
+	}
+	s.logPlacement(r, p)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, result, err := s.send(ctx, r, d, t.lastEvent)
+	faulty := namer.Target("")
+	if answer != nil {
+		defer answer.Close()
+		faulty = s.faulty(answer, p)
+	}
+	if result == verdictAnswer || result == verdictUnknown {
+		r.sends++
+	}
+	if result == verdictAnswer {
+		result, err = t.forward(answer)
+	}
+	outcome := scheduler.Finished
+	switch {
+	case result == verdictAnswer:
+	case ctx.Err() != nil || errors.Is(err, errCaller):
+		outcome = scheduler.Cancelled
+	case result == verdictNotRun:
+		outcome = scheduler.Rejected
+	default:
+		outcome = scheduler.Failed
+	}
+	s.options.Control.Ended(r.id, outcome, faulty)
+	if result != verdictAnswer {
+		s.logAttempt(r, d, result, err)
+	}
+	return result, err
+}
+
+// faulty returns the engine that a rejection names instead of the one that answered.
+func (s *Server) faulty(a *forwarder.Answer, p scheduler.Placement) namer.Target {
+	named := a.Header.Get(s.options.Names.FaultyTarget)
+	for _, h := range p.Helpers {
+		if named != "" && (named == string(h.Engine) || named == h.Address) {
+			return h.Engine
+		}
+	}
+	return ""
+}
+
+func helpers(p scheduler.Placement) string {
+	addresses := make([]string, 0, len(p.Helpers))
+	for _, h := range p.Helpers {
+		addresses = append(addresses, h.Address)
+	}
+	return strings.Join(addresses, ",")
+}
+
+// forward passes on an engine's answer; the header waits for the first event, so that an engine that fails before it can
+// be replaced.
+func (t *transfer) forward(answer *forwarder.Answer) (verdict, error) {
+	if !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) {
+		if t.writer.begun {
+			return verdictUnknown, errForeign
+		}
+		body, err := readWhole(answer)
+		if err != nil {
+			return verdictUnknown, err
+		}
+		t.writer.whole(answer, body)
+		return verdictAnswer, nil
+	}
+	events := forwarder.NewEvents(answer.Body)
+	first := true
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !first {
+			return verdictAnswer, nil
+		}
+		if err != nil {
+			return verdictUnknown, err
+		}
+		if first {
+			t.server.options.Control.Started(t.request.id)
+			first = false
+			if !t.writer.begun {
+				t.writer.begin(answer)
+			}
+		}
+		if err := t.writer.event(event.Raw); err != nil {
+			return verdictUnknown, errors.Join(errCaller, err)
+		}
+		if event.ID != "" {
+			t.lastEvent = event.ID
+		}
+	}
+}
+
+const eventStream = "text/event-stream"
+
+func (s *Server) logPlacement(r *request, p scheduler.Placement) {
+	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("helpers", len(p.Helpers)).
+		Int("prompt", r.prompt).Int("output", r.output).Dur("waited", p.Waited).Dur("backlog", p.Backlog).
+		Dur("predicted", p.FirstEvent).Msg("receiver: placed")
+}
--- /dev/null
+++ b/pkg/scheduler/api.go
@@ -0,0 +1,152 @@
+package scheduler
+
+import (
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// Settings are the constants of the scheduler.
+type Settings struct {
+	// Backlog is the most reading that may wait on an engine with writers: each pass reads what waits, and its writers
+	// pause meanwhile.
+	Backlog time.Duration
+	// Part is the reading time that one part of a long prompt should take.
+	Part time.Duration
+	// MaxParts bounds the engines that read one prompt together.
+	MaxParts int
+	// MemoryShare is the share of an engine's memory that is planned with; lengths of answers are estimates.
+	MemoryShare float64
+	// Suspicion is how long an engine is avoided after a failure; it doubles with each further one.
+	Suspicion    time.Duration
+	MaxSuspicion time.Duration
+	// Overdue is how long after its predicted time a first event may come before the engine counts as failing.
+	Overdue time.Duration
+	// Patience is the time in the queue, as a multiple of the target latency, after which a request is refused.
+	Patience float64
+}
+
+// DefaultSettings returns the settings of the design.
+func DefaultSettings() Settings {
+	return Settings{
+		Backlog:      170 * time.Millisecond,
+		Part:         110 * time.Millisecond,
+		MaxParts:     16,
+		MemoryShare:  0.97,
+		Suspicion:    500 * time.Millisecond,
+		MaxSuspicion: 8 * time.Second,
+		Overdue:      1500 * time.Millisecond,
+		Patience:     2,
+	}
+}
+
+// Engine is a target that may be used.
+type Engine struct {
+	ID         namer.Target
+	Service    namer.Service
+	Address    string
+	DataCentre namer.DataCentre
+	Slots      int
+	// Started tells apart two runs under the same id.
+	Started time.Time
+	// Speed is the published speed of the service's engines.
+	Speed matcher.Engine
+	// ColdUntil is when the engine stops being cold.
+	ColdUntil time.Time
+	// ColdRate is the number of requests a second that the engine bears until then.
+	ColdRate float64
+}
+
+// Request is one prompt to be placed.
+type Request struct {
+	ID      namer.Request
+	Service namer.Service
+	Prompt  int
+	Output  int
+	Arrived time.Time
+	// Latency is the time from Arrived within which the first event has its full value.
+	Latency  time.Duration
+	Deadline time.Time
+	Priority int
+	// Exclude lists engines that have failed this request.
+	Exclude []namer.Target
+	// Retried requests have been sent before: they wait no longer than needed.
+	Retried bool
+}
+
+// Placement says where a request goes.
+type Placement struct {
+	Engine  namer.Target
+	Address string
+	Helpers []Helper
+	// FirstEvent is the predicted time until the first event.
+	FirstEvent time.Duration
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Backlog is the predicted reading in front of the request.
+	Backlog time.Duration
+}
+
+// Helper is an engine that reads a part of the prompt.
+type Helper struct {
+	Engine  namer.Target
+	Address string
+	// Tokens is the memory to reserve there; 0 means that the first engine holds the part.
+	Tokens int
+}
+
+// Decision is what Decide returns: Place or Refuse.
+type Decision interface {
+	decision()
+}
+
+// Place starts a request.
+type Place struct {
+	Request   namer.Request
+	Placement Placement
+}
+
+// Refuse turns a request away before it has been sent.
+type Refuse struct {
+	Request namer.Request
+	Reason  RefuseReason
+	// RetryAfter is when room is expected.
+	RetryAfter time.Duration
+	Waited     time.Duration
+	// Queued is the number of requests that wait.
+	Queued int
+}
+
+func (Place) decision()  {}
+func (Refuse) decision() {}
+
+// RefuseReason is why a request was refused.
+type RefuseReason string
+
+// The reasons.
+const (
+	// NoEngine means that no engine of the service may be used.
+	NoEngine RefuseReason = "no_engine"
+	// TooLarge means that the engines together cannot hold the prompt.
+	TooLarge RefuseReason = "too_large"
+	// TooLate means that the first event would come after the deadline.
+	TooLate RefuseReason = "too_late"
+	// Overload means that the request has waited longer than a queue is useful.
+	Overload RefuseReason = "overload"
+)
+
+// Outcome is how a request ended on its engines.
+type Outcome int
+
+// The outcomes.
+const (
+	// Finished means that the answer came whole.
+	Finished Outcome = iota
+	// Cancelled means that the caller left or the time was over.
+	Cancelled
+	// Failed means that the engine broke off or sent no answer.
+	Failed
+	// Rejected means that the engine did not run the request.
+	Rejected
+)
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -1,66 +1,34 @@
 package storer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
-
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
-const (
-	dialTimeout = 500 * time.Millisecond
-	// watchSlack is added to a watch's own wait before its call counts as failed.
-	watchSlack = 2 * time.Second
-)
+// watchSlack is added to a watch's own wait before its call counts as failed.
+const watchSlack = 2 * time.Second
 
-// HTTP calls the platform's object API; it implements Store.
+// HTTP calls the object API of the product's own platform interface; it implements Store.
 type HTTP struct {
-	base    string
-	timeout time.Duration
-	reader  *client.Client
-	// writer opens a connection for each write: the HTTP client silently repeats a PUT or DELETE whose reused
-	// connection closes before the response, although the write may have taken effect.
-	writer *client.Client
+	transport *Transport
 }
 
 // NewHTTP returns a client of the object API at address (host:port); each call but a watch ends within timeout.
 func NewHTTP(address string, timeout time.Duration) (*HTTP, error) {
-	reader, err := newClient(true)
-	if err != nil {
-		return nil, err
-	}
-	writer, err := newClient(false)
+	transport, err := NewTransport(address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	return &HTTP{
-		base:    "http://" + address,
-		timeout: timeout,
-		reader:  reader,
-		writer:  writer,
+		transport: transport,
 	}, nil
 }
 
-func newClient(keepAlive bool) (*client.Client, error) {
-	return client.NewClient(
-		client.WithDialTimeout(dialTimeout),
-		// The default dialer's connections sometimes lose a response after which the server closes at once.
-		client.WithDialer(standard.NewDialer()),
-		client.WithMaxConnsPerHost(64),
-		client.WithKeepAlive(keepAlive),
-	)
-}
-
 // Get reads one object.
 func (h *HTTP) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	var object Object
@@ -167,54 +135,24 @@
 }
 
 func (h *HTTP) call(ctx context.Context, c call, answer any) error {
-	req := protocol.AcquireRequest()
-	resp := protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(c.method)
-	req.SetRequestURI(h.base + c.path)
-	if c.condition != "" {
-		req.Header.Set(c.condition, c.conditionValue)
-	}
-	if c.body != nil {
-		req.Header.SetContentTypeBytes([]byte("application/json"))
-	}
-	if c.condition != "" {
-		// The library repeats a PUT or DELETE by itself when a pooled connection closes without an answer, unless
-		// the body is a stream. A repeated conditional write conflicts with its own first attempt.
-		req.SetBodyStream(bytes.NewReader(c.body), len(c.body))
-	}
-	timeout := h.timeout
-	if c.timeout > 0 {
-		timeout = c.timeout
-	}
-	deadline := time.Now().Add(timeout)
-	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
-		deadline = earlier
-	}
-	sender := h.reader
-	if c.method != http.MethodGet {
-		sender = h.writer
-	}
-	if err := sender.DoDeadline(ctx, req, resp, deadline); err != nil {
-		return &UnavailableError{
-			Sent:  !isDialError(err),
-			Cause: err,
-		}
+	response, err := h.transport.Do(ctx, Exchange{
+		Method:         c.method,
+		Path:           c.path,
+		Condition:      c.condition,
+		ConditionValue: c.conditionValue,
+		Body:           c.body,
+		Timeout:        c.timeout,
+	})
+	if err != nil {
+		return err
 	}
-	return readAnswer(c, resp, answer)
-}
-
-// isDialError reports whether the connection could not be opened, so that no byte left.
-func isDialError(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
+	return readAnswer(c, response, answer)
 }
 
-func readAnswer(c call, resp *protocol.Response, answer any) error {
-	switch status := resp.StatusCode(); status {
+func readAnswer(c call, response Response, answer any) error {
+	switch status := response.Status; status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		return decode(resp.Body(), answer)
+		return decode(response.Body, answer)
 	case http.StatusNotFound:
 		return &NotFoundError{
 			Kind: c.kind,
@@ -226,7 +164,7 @@
 			Name: c.name,
 		}
 		// A conflict with an object that no longer exists has no body to decode.
-		_ = json.Unmarshal(resp.Body(), &conflict.Current)
+		_ = json.Unmarshal(response.Body, &conflict.Current)
 		return conflict
 	case http.StatusGone:
 		return &CompactedError{
--- a/pkg/storer/watcher.go
+++ b/pkg/storer/watcher.go
@@ -28,6 +28,8 @@
 	Wait time.Duration
 	// Deliver, if set, receives each change in order, on the goroutine of Run.
 	Deliver func(Event)
+	// Report, if set, receives the error of each call, or nil, on the goroutine of Run.
+	Report func(error)
 }
 
 // Watcher follows one kind of object and keeps a cache of it.
@@ -60,6 +62,9 @@
 			err = w.list(ctx)
 		}
 		var gap *CompactedError
+		if w.settings.Report != nil && !errors.As(err, &gap) {
+			w.settings.Report(err)
+		}
 		switch {
 		case errors.As(err, &gap):
 			listed = false
