Let one leading instance place the work of all

Instances now follow a leader, named by one object in the store and found through seeds while the store is away; it places all prompts. Without it each places its own.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -20,9 +20,11 @@
 	"bergamothollow.example/bergamothollow/internal/configurer"
 	"bergamothollow.example/bergamothollow/internal/coordinator"
 	"bergamothollow.example/bergamothollow/internal/factory"
+	"bergamothollow.example/bergamothollow/internal/messenger"
 	"bergamothollow.example/bergamothollow/internal/receiver"
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/retrier"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
@@ -184,7 +186,14 @@
 	clock := i.options.Factory.Clock
 	store := storer.NewClient(plain, storer.DefaultClientSettings(s.Platform.CallsPerSecond), clock,
 		mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
+	peers, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers on %s (change listen.peers): %w", s.Listen.Peers, err)
+	}
 	i.control = coordinator.New(coordinator.Options{
+		Peers:   peers,
+		Seeds:   s.Seeds,
+		Traffic: &messenger.Traffic{},
 		Self: coordinator.Member{
 			Name:       name,
 			Instance:   s.Instance,
@@ -202,6 +211,7 @@
 		},
 		Scheduler: scheduler.DefaultSettings(),
 		Balancer:  balancer.DefaultSettings(),
+		Convener:  convener.DefaultSettings(),
 	})
 	return i.listen()
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"bergamothollow.example/bergamothollow/internal/messenger"
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
@@ -23,7 +27,8 @@
 	RulesName   string
 	Targets     storer.Kind
 	Evacuations storer.Kind
-	Members     storer.Kind
+	// Leaders holds the object that names the leading instance.
+	Leaders storer.Kind
 
 	DecodeRules  func(value json.RawMessage) (matcher.Rules, error)
 	DecodeTarget func(name string, value json.RawMessage, now time.Time) (cataloguer.Target, error)
@@ -31,7 +36,12 @@
 
 // Options are what a coordinator is built from.
 type Options struct {
-	Self      Member
+	Self Member
+	// Peers is where other instances connect.
+	Peers net.Listener
+	// Seeds are peer addresses to ask while the store is away.
+	Seeds     []string
+	Traffic   *messenger.Traffic
 	Store     *storer.Client
 	Format    Format
 	Clock     timer.Clock
@@ -40,6 +50,7 @@
 	Catalogue cataloguer.Settings
 	Scheduler scheduler.Settings
 	Balancer  balancer.Settings
+	Convener  convener.Settings
 }
 
 // View is what traffic goroutines read; it does not change.
@@ -58,15 +69,27 @@
 	messages chan message
 	view     atomic.Pointer[View]
 
-	rules      *matcher.Matcher
-	catalogue  *cataloguer.Cataloguer
-	scheduler  *scheduler.Scheduler
-	balancer   *balancer.Balancer
-	waiting    map[namer.Request]chan<- scheduler.Decision
-	lost       map[storer.Kind]bool
-	leaving    bool
-	stale      bool
-	nextDecide time.Time
+	rules     *matcher.Matcher
+	catalogue *cataloguer.Cataloguer
+	scheduler *scheduler.Scheduler
+	balancer  *balancer.Balancer
+	convener  *convener.Convener
+	role      convener.Role
+	// waiting and placed are the requests of this instance; owners names the followers whose requests a leader has.
+	waiting map[namer.Request]submitted
+	placed  map[namer.Request]*placed
+	owners  map[namer.Request]*link
+	// leader is nil unless this instance follows.
+	leader    *link
+	followers map[*link]struct{}
+	// members is what the leader has said last; told is what this instance has said as a leader.
+	members      []Member
+	told         membersMessage
+	departed     map[string]bool
+	inheritUntil time.Time
+	lost         map[storer.Kind]bool
+	leaving      bool
+	stale        bool
 }
 
 // messageBuffer lets traffic hand over messages without waiting for the control goroutine.
@@ -80,13 +103,35 @@
 		catalogue: cataloguer.New(o.Catalogue),
 		scheduler: scheduler.New(o.Scheduler),
 		balancer:  balancer.New(o.Balancer, o.Self.DataCentre),
-		waiting:   map[namer.Request]chan<- scheduler.Decision{},
+		waiting:   map[namer.Request]submitted{},
+		placed:    map[namer.Request]*placed{},
+		owners:    map[namer.Request]*link{},
+		followers: map[*link]struct{}{},
+		departed:  map[string]bool{},
 		lost:      map[storer.Kind]bool{},
 	}
+	rank, line := turn(o)
+	c.convener = convener.New(o.Convener, c.self(), rank, line)
 	c.publish()
 	return c
 }
 
+// turn returns this instance's rank among the seeds, and the seeds as peers.
+func turn(o Options) (int, []convener.Peer) {
+	rank := len(o.Seeds) + rand.IntN(o.Convener.MaxRank)
+	line := make([]convener.Peer, 0, len(o.Seeds))
+	for i, seed := range o.Seeds {
+		if seed == o.Self.Peers {
+			rank = i
+		}
+		line = append(line, convener.Peer{
+			Name:    seed,
+			Address: seed,
+		})
+	}
+	return rank, line
+}
+
 // View returns the present state.
 func (c *Coordinator) View() *View {
 	return c.view.Load()
@@ -97,6 +142,7 @@
 	for _, kind := range []storer.Kind{c.options.Format.Rules, c.options.Format.Targets, c.options.Format.Evacuations} {
 		c.watch(ctx, kind)
 	}
+	go c.accept(ctx)
 	upkeep := c.options.Clock.After(upkeepInterval)
 	var decide <-chan time.Time
 	for {
@@ -104,11 +150,11 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.messages:
-			c.handle(m)
-			c.drain()
+			c.handle(ctx, m)
+			c.drain(ctx)
 		case <-upkeep:
 			upkeep = c.options.Clock.After(upkeepInterval)
-			c.upkeep()
+			c.upkeep(ctx)
 		case <-decide:
 		}
 		if c.stale {
@@ -124,11 +170,11 @@
 }
 
 // drain handles the messages that have gathered, so that one decision covers them.
-func (c *Coordinator) drain() {
+func (c *Coordinator) drain(ctx context.Context) {
 	for {
 		select {
 		case m := <-c.messages:
-			c.handle(m)
+			c.handle(ctx, m)
 		default:
 			return
 		}
@@ -161,7 +207,7 @@
 	}
 }
 
-func (c *Coordinator) handle(m message) {
+func (c *Coordinator) handle(ctx context.Context, m message) {
 	now := c.options.Clock.Now()
 	switch m := m.(type) {
 	case changed:
@@ -169,14 +215,21 @@
 	case reported:
 		c.report(now, m)
 	case submitted:
-		c.waiting[m.request.ID] = m.reply
-		c.scheduler.Submit(m.request)
+		c.submit(now, m)
 	case withdrawn:
 		c.withdraw(now, m.request)
 	case started:
-		c.scheduler.Started(now, m.request)
+		c.start(now, m.request)
 	case ended:
-		c.scheduler.Ended(now, m.request, m.outcome, m.faulty)
+		c.end(now, m)
+	case inbound:
+		c.takeInbound(now, m)
+	case unlinked:
+		c.takeUnlinked(ctx, now, m.link)
+	case pointed:
+		c.takePointed(ctx, now, m)
+	case joined:
+		c.takeJoined(ctx, now, m)
 	case picked:
 		target, found := c.balancer.Pick(now, m.service, m.exclude)
 		m.reply <- pick{
@@ -186,16 +239,62 @@
 	case done:
 		c.balancer.Done(now, m.target, m.outcome)
 	case leave:
-		c.leaving = true
-		c.stale = true
+		c.leave()
+	}
+}
+
+// leave says at once that callers may no longer use this instance.
+func (c *Coordinator) leave() {
+	c.leaving = true
+	c.stale = true
+	if c.leader != nil {
+		c.leader.notify(methodPing, pingMessage{})
+	}
+}
+
+// submit has a request placed by the leader, or by this instance while it follows nobody.
+func (c *Coordinator) submit(now time.Time, m submitted) {
+	c.waiting[m.request.ID] = m
+	if c.leader != nil {
+		c.leader.notify(methodSubmit, encodeRequest(now, m.request))
+		return
+	}
+	c.scheduler.Submit(m.request)
+}
+
+func (c *Coordinator) start(now time.Time, id namer.Request) {
+	c.scheduler.Started(now, id)
+	if p := c.placed[id]; p != nil {
+		p.started = true
+	}
+	if c.leader != nil {
+		c.leader.notify(methodStarted, progressMessage{
+			Request: id,
+		})
+	}
+}
+
+func (c *Coordinator) end(now time.Time, m ended) {
+	c.scheduler.Ended(now, m.request, m.outcome, m.faulty)
+	delete(c.placed, m.request)
+	if c.leader != nil {
+		c.leader.notify(methodEnded, progressMessage{
+			Request: m.request,
+			Outcome: m.outcome,
+			Faulty:  m.faulty,
+		})
 	}
 }
 
 // withdraw drops a request, whether it still waits or was placed meanwhile.
 func (c *Coordinator) withdraw(now time.Time, id namer.Request) {
 	delete(c.waiting, id)
-	if !c.scheduler.Withdraw(id) {
-		c.scheduler.Ended(now, id, scheduler.Cancelled, "")
+	delete(c.placed, id)
+	c.withdrawPlaced(now, id)
+	if c.leader != nil {
+		c.leader.notify(methodWithdraw, progressMessage{
+			Request: id,
+		})
 	}
 }
 
@@ -268,8 +367,15 @@
 		Bool("leaving", target.Leaving).Int64("version", o.Version).Msg("coordinator: target listed")
 }
 
-func (c *Coordinator) upkeep() {
-	if c.catalogue.Tick(c.options.Clock.Now()) {
+func (c *Coordinator) upkeep(ctx context.Context) {
+	now := c.options.Clock.Now()
+	if c.catalogue.Tick(now) {
+		c.stale = true
+	}
+	c.act(ctx, c.convener.Tick(now))
+	c.findSilent(now)
+	if !c.inheritUntil.IsZero() && now.After(c.inheritUntil) {
+		c.inheritUntil = time.Time{}
 		c.stale = true
 	}
 }
@@ -279,12 +385,11 @@
 	view := &View{
 		Rules:     c.rules,
 		Catalogue: c.catalogue.Catalogue(),
+		Members:   c.listMembers(),
 		Leaving:   c.leaving,
 	}
-	if !c.leaving {
-		view.Members = []Member{c.options.Self}
-	}
 	c.view.Store(view)
+	c.tellMembers(view.Members)
 	if c.rules == nil {
 		return
 	}
@@ -334,14 +439,31 @@
 	now := c.options.Clock.Now()
 	for _, d := range c.scheduler.Decide(now) {
 		id := requestOf(d)
-		reply, waits := c.waiting[id]
-		if !waits {
+		if owner := c.owners[id]; owner != nil {
+			c.sendDecision(owner, id, d)
+			continue
+		}
+		if _, waits := c.waiting[id]; !waits {
 			c.scheduler.Ended(now, id, scheduler.Cancelled, "")
 			continue
 		}
-		delete(c.waiting, id)
-		reply <- d
+		c.reply(id, d)
+	}
+}
+
+// sendDecision answers a follower.
+func (c *Coordinator) sendDecision(owner *link, id namer.Request, d scheduler.Decision) {
+	message := decisionMessage{
+		Request: id,
+	}
+	switch d := d.(type) {
+	case scheduler.Place:
+		message.Place = &d.Placement
+	case scheduler.Refuse:
+		message.Refuse = &d
+		delete(c.owners, id)
 	}
+	owner.notify(methodDecision, message)
 }
 
 func requestOf(d scheduler.Decision) namer.Request {
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -87,12 +87,10 @@
 	Callers    string           `json:"callers"`
 	Peers      string           `json:"peers"`
 	DataCentre namer.DataCentre `json:"data_centre"`
-	// Order is the age of the member: the lowest is the oldest.
-	Order int64 `json:"order"`
 }
 
 // decideInterval is how often the queue is looked at while requests wait; engines finish reading at any time.
 const decideInterval = 5 * time.Millisecond
 
 // upkeepInterval is how often missing targets and silent peers are looked for.
-const upkeepInterval = 100 * time.Millisecond
+const upkeepInterval = 50 * time.Millisecond
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -141,9 +141,9 @@
 	}
 	conn = jsonrpc2.NewConn(
 		context.Background(),
-		newStream(raw, c.traffic),
+		NewStream(raw, c.traffic),
 		jsonrpc2.HandlerWithError(refuseRequests).SuppressErrClosed(),
-		jsonrpc2.SetLogger(discard{}),
+		jsonrpc2.SetLogger(Discard{}),
 	)
 	return c.keep(address, conn), nil
 }
--- a/internal/messenger/listener.go
+++ b/internal/messenger/listener.go
@@ -48,13 +48,14 @@
 	}
 	jsonrpc2.NewConn(
 		ctx,
-		newStream(conn, traffic),
+		NewStream(conn, traffic),
 		jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(answer).SuppressErrClosed()),
-		jsonrpc2.SetLogger(discard{}),
+		jsonrpc2.SetLogger(Discard{}),
 	)
 }
 
-func newStream(conn net.Conn, traffic *Traffic) jsonrpc2.ObjectStream {
+// NewStream returns the JSON-RPC framing of a connection between instances; it counts the bytes in traffic.
+func NewStream(conn net.Conn, traffic *Traffic) jsonrpc2.ObjectStream {
 	counted := countedConn{
 		Conn:    conn,
 		traffic: traffic,
@@ -122,8 +123,8 @@
 	return n, err
 }
 
-// discard drops the library's own log lines: a broken peer connection is reported by the caller.
-type discard struct{}
+// Discard drops the library's own log lines: a broken peer connection is reported by the caller.
+type Discard struct{}
 
 // Printf drops the line.
-func (discard) Printf(string, ...any) {}
+func (Discard) Printf(string, ...any) {}
