--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -156,7 +156,7 @@
 	i.control.Leave()
 	latest := began.Add(i.settings.Gateway.GracePeriod - exitMargin)
 	for clock.Now().Before(latest) {
-		if i.receiver.Active() == 0 && clock.Now().Sub(began) > minimumLeave {
+		if i.receiver.Quiet() && clock.Now().Sub(began) > minimumLeave {
 			break
 		}
 		<-clock.After(leavePoll)
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -50,6 +50,8 @@
 	options Options
 	hertz   *server.Hertz
 	active  atomic.Int64
+	// ended is when a handler last returned, in Unix nanoseconds: the library sends the rest of the answer after that.
+	ended atomic.Int64
 	// stopping is when the instance began to leave, in Unix nanoseconds; 0 while it serves.
 	stopping atomic.Int64
 }
@@ -95,6 +97,14 @@
 	return int(s.active.Load())
 }
 
+// flushTime is how long the library may take to send an answer after its handler has returned.
+const flushTime = 400 * time.Millisecond
+
+// Quiet reports whether no request is under way and all answers have left.
+func (s *Server) Quiet() bool {
+	return s.Active() == 0 && s.options.Clock.Now().Sub(time.Unix(0, s.ended.Load())) > flushTime
+}
+
 // Leave makes the server end connections and refuse what could not finish in time.
 func (s *Server) Leave(now time.Time) {
 	s.stopping.Store(now.UnixNano())
@@ -102,7 +112,10 @@
 
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	s.active.Add(1)
-	defer s.active.Add(-1)
+	defer func() {
+		s.ended.Store(s.options.Clock.Now().UnixNano())
+		s.active.Add(-1)
+	}()
 	c.SetStatusCode(http.StatusOK)
 	r := s.read(c, s.options.Clock.Now())
 	if s.stopping.Load() != 0 {
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -32,6 +32,7 @@
 		result, err := t.attempt(ctx, placement)
 		t.last = err
 		if result == verdictAnswer {
+			t.logServed(placement)
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(err, errCaller) {
@@ -55,6 +56,20 @@
 	writer    *writer
 	lastEvent string
 	last      error
+	// first, pause and previous describe the events that the caller got.
+	first     time.Duration
+	pause     time.Duration
+	previous  time.Time
+}
+
+// note records the times that decide whether a stream has its full value.
+func (t *transfer) note(now time.Time) {
+	if t.previous.IsZero() {
+		t.first = now.Sub(t.request.received)
+	} else {
+		t.pause = max(t.pause, now.Sub(t.previous))
+	}
+	t.previous = now
 }
 
 // errCaller means that the caller no longer reads.
@@ -190,6 +205,7 @@
 		if err := t.writer.event(event.Raw); err != nil {
 			return verdictUnknown, errors.Join(errCaller, err)
 		}
+		t.note(t.server.options.Clock.Now())
 		if event.ID != "" {
 			t.lastEvent = event.ID
 		}
@@ -198,6 +214,13 @@
 
 const eventStream = "text/event-stream"
 
+func (t *transfer) logServed(p scheduler.Placement) {
+	s, r := t.server, t.request
+	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("sends", r.sends).
+		Dur("waited", p.Waited).Dur("predicted", p.Waited+p.FirstEvent).Dur("first_event", t.first).
+		Dur("longest_pause", t.pause).Dur("took", s.options.Clock.Now().Sub(r.received)).Msg("receiver: served")
+}
+
 func (s *Server) logPlacement(r *request, p scheduler.Placement) {
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("helpers", len(p.Helpers)).
 		Int("prompt", r.prompt).Int("output", r.output).Dur("waited", p.Waited).Dur("backlog", p.Backlog).
