--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -51,6 +51,7 @@
 	Output   int            `json:"output"`
 	Age      time.Duration  `json:"age"`
 	Latency  time.Duration  `json:"latency"`
+	Pause    time.Duration  `json:"pause,omitempty"`
 	Left     time.Duration  `json:"left"`
 	Priority int            `json:"priority,omitempty"`
 	Exclude  []namer.Target `json:"exclude,omitempty"`
@@ -65,6 +66,7 @@
 		Output:   r.Output,
 		Age:      now.Sub(r.Arrived),
 		Latency:  r.Latency,
+		Pause:    r.Pause,
 		Left:     r.Deadline.Sub(now),
 		Priority: r.Priority,
 		Exclude:  r.Exclude,
@@ -80,6 +82,7 @@
 		Output:   m.Output,
 		Arrived:  now.Add(-m.Age),
 		Latency:  m.Latency,
+		Pause:    m.Pause,
 		Deadline: now.Add(m.Left),
 		Priority: m.Priority,
 		Exclude:  m.Exclude,
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -57,9 +57,9 @@
 	lastEvent string
 	last      error
 	// first, pause and previous describe the events that the caller got.
-	first     time.Duration
-	pause     time.Duration
-	previous  time.Time
+	first    time.Duration
+	pause    time.Duration
+	previous time.Time
 }
 
 // note records the times that decide whether a stream has its full value.
@@ -88,6 +88,7 @@
 		Output:   output,
 		Arrived:  r.received,
 		Latency:  r.match.Route.TargetLatency,
+		Pause:    r.match.Route.LongestPause,
 		Deadline: r.deadline,
 		Priority: r.match.Priority,
 		Exclude:  excluded,
--- a/pkg/matcher/rules.go
+++ b/pkg/matcher/rules.go
@@ -34,6 +34,8 @@
 	Timeout time.Duration
 	// TargetLatency is the time within which an answer, or its first event, has its full value.
 	TargetLatency time.Duration
+	// LongestPause is the longest time between two events of a stream that has its full value.
+	LongestPause time.Duration
 	// Priority is the rank of the route, 0 being the most important.
 	Priority int
 	// MaxAttempts bounds the targets that run one request.
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -9,13 +9,18 @@
 
 // Settings are the constants of the scheduler.
 type Settings struct {
-	// Backlog is the most reading that may wait on an engine with writers: each pass reads what waits, and its writers
-	// pause meanwhile.
-	Backlog time.Duration
-	// Part is the reading time that one part of a long prompt should take.
-	Part time.Duration
+	// PauseMargin is taken off the longest pause of a stream: events also travel, and passes are predicted.
+	PauseMargin time.Duration
 	// MaxParts bounds the engines that read one prompt together.
 	MaxParts int
+	// MinPart is the least reading time of one part: shorter ones cost more steps than they save.
+	MinPart time.Duration
+	// PartCost and SharedCost are what one more part costs, and one beside streams that tolerate short pauses only.
+	PartCost   time.Duration
+	SharedCost time.Duration
+	// OpenCost is what it costs to put a stream that tolerates short pauses only on an engine without such streams: engines
+	// without them read long prompts in larger parts.
+	OpenCost time.Duration
 	// MemoryShare is the share of an engine's memory that is planned with; lengths of answers are estimates.
 	MemoryShare float64
 	// Suspicion is how long an engine is avoided after a failure; it doubles with each further one.
@@ -25,19 +30,25 @@
 	Overdue time.Duration
 	// Patience is the time in the queue, as a multiple of the target latency, after which a request is refused.
 	Patience float64
+	// Urgent is the share of the target latency that must be left; a request with less may lengthen the pauses of others.
+	Urgent float64
 }
 
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		Backlog:      170 * time.Millisecond,
-		Part:         110 * time.Millisecond,
+		PauseMargin:  15 * time.Millisecond,
 		MaxParts:     16,
+		MinPart:      40 * time.Millisecond,
+		PartCost:     2 * time.Millisecond,
+		SharedCost:   8 * time.Millisecond,
+		OpenCost:     60 * time.Millisecond,
 		MemoryShare:  0.97,
 		Suspicion:    500 * time.Millisecond,
 		MaxSuspicion: 8 * time.Second,
 		Overdue:      1500 * time.Millisecond,
 		Patience:     2,
+		Urgent:       0.4,
 	}
 }
 
@@ -66,7 +77,9 @@
 	Output  int
 	Arrived time.Time
 	// Latency is the time from Arrived within which the first event has its full value.
-	Latency  time.Duration
+	Latency time.Duration
+	// Pause is the longest time between two events of an answer that has its full value; 0 means any.
+	Pause    time.Duration
 	Deadline time.Time
 	Priority int
 	// Exclude lists engines that have failed this request.
--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -2,21 +2,23 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
-// engine is what is known of one engine.
+// engine is what is known of one engine. It works in passes: a pass reads what waited when it began and, if requests are
+// writing, writes one event of each. So a stream pauses for as long as a pass takes.
 type engine struct {
 	Engine
-	// readUntil is when the reading placed so far is predicted to end.
-	readUntil time.Time
-	// parts are the pieces of prompts that are not known to have been read, by request.
-	parts map[namer.Request]piece
-	// requests counts those that this engine answers.
-	requests int
+	// current is read in the pass that ends at passEnd; waiting is read in the next one.
+	current []piece
+	waiting []piece
+	passEnd time.Time
+	// runs are the requests that this engine answers.
+	runs map[namer.Request]*run
 	// writers and context describe the requests that are past their first event.
 	writers int
 	context int
@@ -27,14 +29,21 @@
 	failures int
 	// avoidUntil ends the suspicion after failures.
 	avoidUntil time.Time
-	// coldWindow and coldSent count requests while cold.
-	coldWindow time.Time
-	coldSent   int
+	// coldSince begins the window in which requests to a cold engine are counted.
+	coldSince time.Time
+	coldSent  int
 }
 
 // piece is the reading of one request on one engine.
 type piece struct {
-	work time.Duration
+	request namer.Request
+	work    time.Duration
+}
+
+func newEngine() *engine {
+	return &engine{
+		runs: map[namer.Request]*run{},
+	}
 }
 
 // readTime returns the time that an engine needs to read a share of a prompt, without its steps for writers.
@@ -51,47 +60,131 @@
 		time.Duration(float64(e.context)/1000*float64(s.StepPerThousandTokens))
 }
 
-// pass is the duration of a pass without reading.
-func (e *engine) pass() time.Duration {
+// writing is the duration of a pass that reads nothing; it is 0 without writers.
+func (e *engine) writing() time.Duration {
+	if e.writers == 0 {
+		return 0
+	}
 	return time.Duration(e.Speed.StepsPerPass) * e.step()
 }
 
-// part is the time that a share of a prompt takes with the steps in which it is read.
+// part is the time that a share of a prompt takes. The steps in which it is read belong to a pass with writers anyway.
 func (e *engine) part(prompt, parts int) time.Duration {
+	work := readTime(&e.Speed, prompt, parts)
+	if e.writers > 0 {
+		return work
+	}
 	chunks := math.Ceil(float64(prompt) / float64(parts) / float64(e.Speed.ChunkTokens))
-	return readTime(&e.Speed, prompt, parts) + time.Duration(chunks*float64(e.step()))
+	return work + time.Duration(chunks*float64(e.step()))
 }
 
-// backlog is the reading that is predicted to wait.
-func (e *engine) backlog(now time.Time) time.Duration {
-	return max(0, e.readUntil.Sub(now))
+func total(pieces []piece) time.Duration {
+	sum := time.Duration(0)
+	for _, p := range pieces {
+		sum += p.work
+	}
+	return sum
+}
+
+// advance follows the passes up to now.
+func (e *engine) advance(now time.Time) {
+	for !e.passEnd.After(now) {
+		if e.idle() {
+			e.passEnd = now
+			return
+		}
+		e.nextPass(e.passEnd)
+	}
+}
+
+func (e *engine) idle() bool {
+	return len(e.waiting) == 0 && e.writers == 0
+}
+
+// nextPass begins a pass at a time.
+func (e *engine) nextPass(start time.Time) {
+	e.current, e.waiting = e.waiting, nil
+	length := total(e.current) + e.writing()
+	if length <= 0 {
+		length = e.Speed.Step
+	}
+	e.passEnd = start.Add(length)
+	for _, r := range e.runs {
+		if r.started && r.request.Pause > 0 && length > r.request.Pause {
+			r.spoiled = true
+		}
+	}
 }
 
 // read adds a piece.
 func (e *engine) read(now time.Time, id namer.Request, work time.Duration) {
-	start := now
-	if e.readUntil.After(now) {
-		start = e.readUntil
+	e.advance(now)
+	e.waiting = append(e.waiting, piece{
+		request: id,
+		work:    work,
+	})
+	if !e.passEnd.After(now) {
+		e.nextPass(now)
 	}
-	e.readUntil = start.Add(work)
-	e.parts[id] = piece{
-		work: work,
+}
+
+// ends predicts when a piece of reading would be done.
+func (e *engine) ends(now time.Time, work time.Duration) time.Time {
+	e.advance(now)
+	if !e.passEnd.After(now) {
+		return now.Add(work)
 	}
+	return e.passEnd.Add(total(e.waiting) + work + e.writing())
+}
+
+// backlog is the time before a new piece would begin to be read.
+func (e *engine) backlog(now time.Time) time.Duration {
+	e.advance(now)
+	return max(0, e.passEnd.Sub(now)) + total(e.waiting)
 }
 
-// settle forgets a piece that has been read or given up, and corrects the prediction from what is left.
-func (e *engine) settle(now time.Time, id namer.Request) {
-	if _, known := e.parts[id]; !known {
+// remove forgets a piece and reports whether it was being read.
+func (e *engine) remove(id namer.Request) bool {
+	match := func(p piece) bool { return p.request == id }
+	e.waiting = slices.DeleteFunc(e.waiting, match)
+	before := len(e.current)
+	e.current = slices.DeleteFunc(e.current, match)
+	return len(e.current) != before
+}
+
+// passed records that a pass has ended at now, since a first event comes at the end of one.
+func (e *engine) passed(now time.Time, id namer.Request) {
+	if e.remove(id) {
+		// What was read in the same pass is done too.
+		e.current = nil
+		e.passEnd = now
 		return
 	}
-	delete(e.parts, id)
-	left := time.Duration(0)
-	for _, p := range e.parts {
-		left += p.work
+	// The prediction was ahead or behind: the next pass begins now.
+	e.passEnd = now.Add(total(e.current) + e.writing())
+}
+
+// tolerance is the longest pass that spoils no stream on the engine; shared is set if there is a bound.
+func (e *engine) tolerance() (bound time.Duration, shared bool) {
+	for _, r := range e.runs {
+		if r.request.Pause > 0 && !r.spoiled && (!shared || r.request.Pause < bound) {
+			bound, shared = r.request.Pause, true
+		}
 	}
-	if latest := now.Add(left); e.readUntil.After(latest) {
-		e.readUntil = latest
+	return bound, shared
+}
+
+// unbounded is the room of an engine whose passes disturb nobody.
+const unbounded = time.Hour
+
+// room is the reading that the next pass can take without a pause that is too long.
+func (e *engine) room(now time.Time, margin time.Duration) time.Duration {
+	bound, shared := e.tolerance()
+	if !shared {
+		return unbounded
 	}
+	e.advance(now)
+	return bound - margin - total(e.waiting) - max(e.writing(), time.Duration(e.Speed.StepsPerPass)*e.step())
 }
 
 // free is the memory that is not planned.
@@ -108,15 +201,16 @@
 const coldWindow = time.Second
 
 func (e *engine) coldRoom(now time.Time) bool {
-	if !now.Before(e.ColdUntil) || e.ColdRate <= 0 || now.Sub(e.coldWindow) >= coldWindow {
+	if !now.Before(e.ColdUntil) || e.ColdRate <= 0 || now.Sub(e.coldSince) >= coldWindow {
 		return true
 	}
 	return float64(e.coldSent) < e.ColdRate
 }
 
+// sent counts a request, so that a cold engine does not get more than it bears.
 func (e *engine) sent(now time.Time) {
-	if now.Sub(e.coldWindow) >= coldWindow {
-		e.coldWindow = now
+	if now.Sub(e.coldSince) >= coldWindow {
+		e.coldSince = now
 		e.coldSent = 0
 	}
 	e.coldSent++
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -25,7 +25,10 @@
 	tokens   int
 	started  bool
 	expected time.Time
-	judged   bool
+	// judged is set once the engine has been suspected for this request.
+	judged bool
+	// spoiled is set once the answer has lost its full value: its pauses matter no longer.
+	spoiled bool
 }
 
 // New returns a scheduler without engines.
@@ -44,9 +47,7 @@
 	for _, one := range engines {
 		known := s.engines[one.ID]
 		if known == nil || !known.Started.Equal(one.Started) {
-			known = &engine{
-				parts: map[namer.Request]piece{},
-			}
+			known = newEngine()
 		}
 		known.Engine = one
 		fresh[one.ID] = known
@@ -112,10 +113,17 @@
 		return
 	}
 	one.started = true
-	s.settle(now, one)
-	one.engine.writers++
-	one.engine.context += one.request.Prompt
-	one.engine.failures = 0
+	one.spoiled = now.Sub(one.request.Arrived) > one.request.Latency
+	e := one.engine
+	e.advance(now)
+	e.writers++
+	e.context += one.request.Prompt
+	e.failures = 0
+	e.passed(now, id)
+	for _, h := range one.helpers {
+		h.advance(now)
+		h.remove(id)
+	}
 }
 
 // Ended records the end of a request on its engines; faulty names the engine that failed, if it is not the first one.
@@ -125,15 +133,19 @@
 		return
 	}
 	delete(s.running, id)
+	e := one.engine
+	e.advance(now)
+	delete(e.runs, id)
 	if one.started {
-		one.engine.writers--
-		one.engine.context -= one.request.Prompt
+		e.writers--
+		e.context -= one.request.Prompt
 	} else {
-		s.settle(now, one)
+		e.remove(id)
 	}
-	one.engine.requests--
-	one.engine.memory -= one.tokens
+	e.memory -= one.tokens
 	for _, h := range one.helpers {
+		h.advance(now)
+		h.remove(id)
 		h.helping--
 	}
 	guilty := one.engine
@@ -150,13 +162,6 @@
 	}
 }
 
-func (s *Scheduler) settle(now time.Time, one *run) {
-	one.engine.settle(now, one.request.ID)
-	for _, h := range one.helpers {
-		h.settle(now, one.request.ID)
-	}
-}
-
 // suspect avoids an engine for a while.
 func (s *Scheduler) suspect(now time.Time, e *engine) {
 	pause := s.settings.MaxSuspicion
@@ -230,7 +235,7 @@
 	if speed == nil {
 		return 0
 	}
-	work := readTime(&speed.Speed, r.Prompt, 1) + speed.pass()
+	work := readTime(&speed.Speed, r.Prompt, 1) + time.Duration(speed.Speed.StepsPerPass)*speed.Speed.Step
 	value := float64(r.Prompt + outputWeight*r.Output)
 	if now.Sub(r.Arrived) > r.Latency {
 		value *= lateShare
@@ -293,14 +298,31 @@
 	if len(candidates) == 0 {
 		return Placement{}, false
 	}
-	parts := s.parts(candidates[0], r, len(candidates))
-	if parts == 1 {
-		return s.placeWhole(now, r, candidates)
+	// A request that is about to miss its target latency may lengthen the pauses of others.
+	urgent := r.Arrived.Add(r.Latency).Sub(now) < time.Duration(s.settings.Urgent*float64(r.Latency))
+	best := choice{}
+	work := readTime(&candidates[0].Speed, r.Prompt, 1)
+	most := max(1, min(s.settings.MaxParts, len(candidates), int(work/s.settings.MinPart)))
+	for parts := 1; parts <= most; parts++ {
+		c, found := s.choose(now, r, candidates, parts, urgent)
+		if found && (best.first == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	if best.first == nil {
+		return Placement{}, false
 	}
-	return s.placeParts(now, r, candidates, parts)
+	return s.begin(now, r, best.first, best.helpers), true
 }
 
-// candidates returns the engines that may read for a request, shortest backlog first.
+// choice is a way to place a request.
+type choice struct {
+	first   *engine
+	helpers []*engine
+	cost    time.Duration
+}
+
+// candidates returns the engines that may read for a request.
 func (s *Scheduler) candidates(now time.Time, r *Request) []*engine {
 	var found []*engine
 	for _, e := range s.order {
@@ -308,81 +330,98 @@
 			found = append(found, e)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b *engine) int {
-		return int(a.cost(now) - b.cost(now))
-	})
 	return found
 }
 
-// cost orders engines for a request that is read at once.
-func (e *engine) cost(now time.Time) time.Duration {
-	cost := e.backlog(now) + e.pass()/2
-	if e.writers == 0 && e.requests == 0 {
-		cost -= e.pass() / 2
-	}
-	// Requests that are not yet writing will soon lengthen each step.
-	return cost + time.Duration(e.requests)*requestCost
-}
-
-// requestCost spreads requests over engines whose backlogs are alike.
-const requestCost = 3 * time.Millisecond
-
-// parts returns over how many engines a prompt is spread.
-func (s *Scheduler) parts(e *engine, r *Request, available int) int {
-	work := e.part(r.Prompt, 1)
-	wanted := int((work + s.settings.Part - 1) / s.settings.Part)
-	return max(1, min(wanted, available, s.settings.MaxParts))
-}
-
 // planned is the memory that a request will hold.
 func (r *Request) planned() int {
 	return r.Prompt + r.Output
 }
 
-func (s *Scheduler) placeWhole(now time.Time, r *Request, candidates []*engine) (Placement, bool) {
+// choose finds the cheapest engines for a number of parts: those that end first, with what it costs to disturb others.
+func (s *Scheduler) choose(now time.Time, r *Request, candidates []*engine, parts int, urgent bool) (choice, bool) {
+	type option struct {
+		engine *engine
+		cost   time.Duration
+		holds  bool
+	}
+	var options []option
 	for _, e := range candidates {
-		if e.requests >= e.Slots || e.free(s.settings.MemoryShare) < r.planned() {
+		work := e.part(r.Prompt, parts)
+		if !s.fits(now, r, e, work, urgent) {
 			continue
 		}
-		if e.backlog(now) > s.settings.Backlog && e.requests > 0 {
+		options = append(options, option{
+			engine: e,
+			cost:   e.ends(now, work).Sub(now) + s.disturbance(r, e, parts),
+			holds:  len(e.runs) < e.Slots && e.free(s.settings.MemoryShare) >= r.planned(),
+		})
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return int(a.cost - b.cost) })
+	first := slices.IndexFunc(options, func(o option) bool { return o.holds })
+	if first < 0 || len(options) < parts {
+		return choice{}, false
+	}
+	c := choice{
+		first: options[first].engine,
+		cost:  options[first].cost + time.Duration(parts)*s.settings.PartCost,
+	}
+	for i, o := range options {
+		if len(c.helpers) == parts-1 {
+			break
+		}
+		if i == first || o.engine.helping >= o.engine.Slots {
 			continue
 		}
-		return s.begin(now, r, e, nil), true
+		c.helpers = append(c.helpers, o.engine)
+		c.cost = max(c.cost, o.cost+time.Duration(parts)*s.settings.PartCost)
 	}
-	return Placement{}, false
+	return c, len(c.helpers) == parts-1
 }
 
-func (s *Scheduler) placeParts(now time.Time, r *Request, candidates []*engine, parts int) (Placement, bool) {
-	var readers []*engine
-	for _, e := range candidates {
-		work := e.part(r.Prompt, parts)
-		room := s.settings.Backlog - work
-		// A part that is longer than the bound needs an engine that is nearly free.
-		if e.backlog(now) > max(room, s.settings.Backlog/4) || e.helping >= e.Slots {
-			continue
-		}
-		readers = append(readers, e)
-		if len(readers) == parts {
-			break
-		}
+// fits reports whether a piece of reading makes no pause too long, or the request is urgent and worth more than what it
+// spoils.
+func (s *Scheduler) fits(now time.Time, r *Request, e *engine, work time.Duration, urgent bool) bool {
+	if work <= e.room(now, s.settings.PauseMargin) {
+		return true
 	}
-	if len(readers) < parts {
-		return Placement{}, false
+	if !urgent || now.Sub(r.Arrived) > r.Latency {
+		// Nothing is gained any more by spoiling others; the piece goes where nobody minds, or where it is short.
+		return work <= shortWork && e.backlog(now) < r.Latency
 	}
-	first := -1
-	for i, e := range readers {
-		if e.requests >= e.Slots || e.free(s.settings.MemoryShare) < r.planned() {
-			continue
-		}
-		if first < 0 || e.context < readers[first].context {
-			first = i
+	spoiled := 0
+	for _, other := range e.runs {
+		if !other.spoiled && other.request.Pause > 0 {
+			spoiled += other.request.value()
 		}
 	}
-	if first < 0 {
-		return Placement{}, false
+	return spoiled < r.value()/disturbedParts
+}
+
+const (
+	// shortWork is reading that lengthens a pass by little.
+	shortWork = 60 * time.Millisecond
+	// disturbedParts divides the value of an urgent prompt among the engines that it disturbs.
+	disturbedParts = 4
+)
+
+// value is what an answer is worth, in prompt tokens.
+func (r *Request) value() int {
+	return r.Prompt + outputWeight*r.Output
+}
+
+// disturbance is the cost of reading beside streams that tolerate short pauses only, or of putting such a stream on an
+// engine without them.
+func (s *Scheduler) disturbance(r *Request, e *engine, parts int) time.Duration {
+	_, shared := e.tolerance()
+	switch {
+	case parts > 1 && shared:
+		return s.settings.SharedCost
+	case parts == 1 && !shared:
+		return s.settings.OpenCost
+	default:
+		return 0
 	}
-	e := readers[first]
-	return s.begin(now, r, e, slices.Delete(readers, first, first+1)), true
 }
 
 // begin starts a request and describes its placement.
@@ -412,18 +451,18 @@
 	}
 	s.running[r.ID] = one
 	parts := len(helpers) + 1
+	one.expected = first.ends(now, first.part(r.Prompt, parts))
 	first.read(now, r.ID, first.part(r.Prompt, parts))
-	first.requests++
+	first.runs[r.ID] = one
 	first.memory += one.tokens
 	first.sent(now)
-	ready := first.readUntil
 	for _, h := range helpers {
+		ready := h.ends(now, h.part(r.Prompt, parts))
 		h.read(now, r.ID, h.part(r.Prompt, parts))
 		h.helping++
-		if h.readUntil.After(ready) {
-			ready = h.readUntil
+		if ready.After(one.expected) {
+			one.expected = ready
 		}
 	}
-	one.expected = ready.Add(first.pass())
 	return one
 }
