--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -233,6 +233,7 @@
 		Listener: listeners[s.Listen.Callers],
 		Control:  i.control,
 		Names:    platform.Headers(),
+		Orders:   platform.Orders(),
 		Budget: retrier.NewBudget(retrier.Settings{
 			BudgetShare:   g.RetryRatio * budgetCaution,
 			BudgetWindow:  g.RetryWindow,
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -37,6 +37,8 @@
 	view           *coordinator.View
 	// sends counts the targets that may have run the request.
 	sends int
+	// placements counts the attempts, so that each has reservations of its own.
+	placements int
 }
 
 // deadlineMargin is taken off a route's timeout, so that the final answer leaves in time.
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -39,6 +39,7 @@
 	Listener net.Listener
 	Control  *coordinator.Coordinator
 	Names    forwarder.HeaderNames
+	Orders   Orders
 	Budget   *retrier.Budget
 	Clock    timer.Clock
 	Log      *log.Logger
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -116,14 +116,21 @@
 // attempt sends the request to the placement's engine and forwards events until the stream ends or breaks.
 func (t *transfer) attempt(ctx context.Context, p scheduler.Placement) (verdict, error) {
 	s, r := t.server, t.request
+	r.placements++
+	reserved := reservations(r, p)
 	d := destination{
 		id:      p.Engine,
 		address: p.Address,
-		helpers: helpers(p),
+		helpers: s.helpers(p, reserved),
 	}
 	s.logPlacement(r, p)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := s.reserve(ctx, reserved); err != nil {
+		return t.unreserved(ctx, err)
+	}
+	defer s.release(reserved)
+	go s.renew(ctx, reserved)
 	answer, result, err := s.send(ctx, r, d, t.lastEvent)
 	faulty := namer.Target("")
 	if answer != nil {
@@ -153,6 +160,22 @@
 	return result, err
 }
 
+// unreserved ends an attempt for which an engine had no memory.
+func (t *transfer) unreserved(ctx context.Context, err error) (verdict, error) {
+	faulty := namer.Target("")
+	var refused *ReservationError
+	if errors.As(err, &refused) {
+		faulty = refused.Engine
+	}
+	outcome := scheduler.Rejected
+	if ctx.Err() != nil {
+		outcome = scheduler.Cancelled
+	}
+	t.server.options.Control.Ended(t.request.id, outcome, faulty)
+	t.server.options.Log.Info().Str("request", string(t.request.id)).Err(err).Msg("receiver: memory not reserved")
+	return verdictUnreached, err
+}
+
 // faulty returns the engine that a rejection names instead of the one that answered.
 func (s *Server) faulty(a *forwarder.Answer, p scheduler.Placement) namer.Target {
 	named := a.Header.Get(s.options.Names.FaultyTarget)
@@ -164,14 +187,6 @@
 	return ""
 }
 
-func helpers(p scheduler.Placement) string {
-	addresses := make([]string, 0, len(p.Helpers))
-	for _, h := range p.Helpers {
-		addresses = append(addresses, h.Address)
-	}
-	return strings.Join(addresses, ",")
-}
-
 // forward passes on an engine's answer; the header waits for the first event, so that an engine that fails before it can
 // be replaced.
 func (t *transfer) forward(answer *forwarder.Answer) (verdict, error) {
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -18,6 +18,8 @@
 	// PartCost and SharedCost are what one more part costs, and one beside streams that tolerate short pauses only.
 	PartCost   time.Duration
 	SharedCost time.Duration
+	// ReserveCost is what reserving memory costs: a round trip before the prompt is sent.
+	ReserveCost time.Duration
 	// OpenCost is what it costs to put a stream that tolerates short pauses only on an engine without such streams: engines
 	// without them read long prompts in larger parts.
 	OpenCost time.Duration
@@ -42,6 +44,7 @@
 		MinPart:      40 * time.Millisecond,
 		PartCost:     2 * time.Millisecond,
 		SharedCost:   8 * time.Millisecond,
+		ReserveCost:  10 * time.Millisecond,
 		OpenCost:     60 * time.Millisecond,
 		MemoryShare:  0.97,
 		Suspicion:    500 * time.Millisecond,
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -19,9 +19,11 @@
 
 // run is a placed request.
 type run struct {
-	request  Request
-	engine   *engine
-	helpers  []*engine
+	request Request
+	engine  *engine
+	helpers []*engine
+	// reserved is the memory at each helper, and tokens that at the first engine.
+	reserved []int
 	tokens   int
 	started  bool
 	expected time.Time
@@ -94,13 +96,16 @@
 	if first == nil || s.running[r.ID] != nil {
 		return
 	}
-	helpers := make([]*engine, 0, len(p.Helpers))
+	c := choice{
+		first: first,
+	}
 	for _, h := range p.Helpers {
 		if e := s.engines[h.Engine]; e != nil {
-			helpers = append(helpers, e)
+			c.helpers = append(c.helpers, e)
+			c.reserved = append(c.reserved, h.Tokens)
 		}
 	}
-	s.start(now, r, first, helpers)
+	s.start(now, r, c)
 	if started {
 		s.Started(now, r.ID)
 	}
@@ -143,10 +148,13 @@
 		e.remove(id)
 	}
 	e.memory -= one.tokens
-	for _, h := range one.helpers {
+	for i, h := range one.helpers {
 		h.advance(now)
 		h.remove(id)
 		h.helping--
+		if len(one.reserved) > 0 {
+			h.memory -= one.reserved[i]
+		}
 	}
 	guilty := one.engine
 	if other := s.engines[faulty]; other != nil {
@@ -312,14 +320,16 @@
 	if best.first == nil {
 		return Placement{}, false
 	}
-	return s.begin(now, r, best.first, best.helpers), true
+	return s.begin(now, r, best), true
 }
 
 // choice is a way to place a request.
 type choice struct {
 	first   *engine
 	helpers []*engine
-	cost    time.Duration
+	// reserved is the memory to reserve at each helper; it is empty if the first engine holds the whole prompt.
+	reserved []int
+	cost     time.Duration
 }
 
 // candidates returns the engines that may read for a request.
@@ -358,10 +368,19 @@
 		})
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return int(a.cost - b.cost) })
-	first := slices.IndexFunc(options, func(o option) bool { return o.holds })
-	if first < 0 || len(options) < parts {
+	if len(options) < parts {
 		return choice{}, false
 	}
+	first := slices.IndexFunc(options, func(o option) bool { return o.holds })
+	if first < 0 {
+		readers := make([]*engine, 0, parts)
+		cost := time.Duration(0)
+		for _, o := range options[:parts] {
+			readers = append(readers, o.engine)
+			cost = o.cost
+		}
+		return s.share(r, readers, cost+time.Duration(parts)*s.settings.PartCost)
+	}
 	c := choice{
 		first: options[first].engine,
 		cost:  options[first].cost + time.Duration(parts)*s.settings.PartCost,
@@ -379,6 +398,43 @@
 	return c, len(c.helpers) == parts-1
 }
 
+// share divides the memory of a prompt that no engine can hold alone: the first engine takes what it can, the others
+// reserve the rest.
+func (s *Scheduler) share(r *Request, readers []*engine, cost time.Duration) (choice, bool) {
+	byMemory := slices.Clone(readers)
+	slices.SortStableFunc(byMemory, func(a, b *engine) int {
+		return b.free(s.settings.MemoryShare) - a.free(s.settings.MemoryShare)
+	})
+	first := slices.IndexFunc(byMemory, func(e *engine) bool { return len(e.runs) < e.Slots })
+	if first < 0 || len(readers) < 2 {
+		return choice{}, false
+	}
+	c := choice{
+		first: byMemory[first],
+		cost:  cost + s.settings.ReserveCost,
+	}
+	missing := r.planned() - c.first.free(s.settings.MemoryShare)
+	for i, e := range byMemory {
+		if i == first {
+			continue
+		}
+		if e.helping >= e.Slots {
+			return choice{}, false
+		}
+		tokens := min(missing, e.free(s.settings.MemoryShare))
+		if missing > 0 && tokens < minReservation {
+			tokens = 0
+		}
+		missing -= max(0, tokens)
+		c.helpers = append(c.helpers, e)
+		c.reserved = append(c.reserved, max(0, tokens))
+	}
+	return c, missing <= 0
+}
+
+// minReservation is the least memory worth an order, in tokens.
+const minReservation = 4096
+
 // fits reports whether a piece of reading makes no pause too long, or the request is urgent and worth more than what it
 // spoils.
 func (s *Scheduler) fits(now time.Time, r *Request, e *engine, work time.Duration, urgent bool) bool {
@@ -425,44 +481,54 @@
 }
 
 // begin starts a request and describes its placement.
-func (s *Scheduler) begin(now time.Time, r *Request, first *engine, helpers []*engine) Placement {
+func (s *Scheduler) begin(now time.Time, r *Request, c choice) Placement {
 	p := Placement{
-		Engine:  first.ID,
-		Address: first.Address,
-		Backlog: first.backlog(now),
+		Engine:  c.first.ID,
+		Address: c.first.Address,
+		Backlog: c.first.backlog(now),
 	}
-	one := s.start(now, *r, first, helpers)
-	for _, h := range helpers {
-		p.Helpers = append(p.Helpers, Helper{
+	one := s.start(now, *r, c)
+	for i, h := range c.helpers {
+		helper := Helper{
 			Engine:  h.ID,
 			Address: h.Address,
-		})
+		}
+		if len(c.reserved) > 0 {
+			helper.Tokens = c.reserved[i]
+		}
+		p.Helpers = append(p.Helpers, helper)
 	}
 	p.FirstEvent = one.expected.Sub(now)
 	return p
 }
 
-func (s *Scheduler) start(now time.Time, r Request, first *engine, helpers []*engine) *run {
+func (s *Scheduler) start(now time.Time, r Request, c choice) *run {
+	first := c.first
 	one := &run{
-		request: r,
-		engine:  first,
-		helpers: helpers,
-		tokens:  r.planned(),
+		request:  r,
+		engine:   first,
+		helpers:  c.helpers,
+		reserved: c.reserved,
+		tokens:   r.planned(),
 	}
 	s.running[r.ID] = one
-	parts := len(helpers) + 1
+	parts := len(c.helpers) + 1
 	one.expected = first.ends(now, first.part(r.Prompt, parts))
 	first.read(now, r.ID, first.part(r.Prompt, parts))
 	first.runs[r.ID] = one
-	first.memory += one.tokens
 	first.sent(now)
-	for _, h := range helpers {
+	for i, h := range c.helpers {
 		ready := h.ends(now, h.part(r.Prompt, parts))
 		h.read(now, r.ID, h.part(r.Prompt, parts))
 		h.helping++
+		if len(c.reserved) > 0 {
+			h.memory += c.reserved[i]
+			one.tokens -= c.reserved[i]
+		}
 		if ready.After(one.expected) {
 			one.expected = ready
 		}
 	}
+	first.memory += one.tokens
 	return one
 }
