--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -87,6 +87,7 @@
 	told         membersMessage
 	departed     map[string]bool
 	inheritUntil time.Time
+	loadLogged   time.Time
 	lost         map[storer.Kind]bool
 	leaving      bool
 	stale        bool
@@ -374,12 +375,28 @@
 	}
 	c.act(ctx, c.convener.Tick(now))
 	c.findSilent(now)
+	c.logLoad(now)
 	if !c.inheritUntil.IsZero() && now.After(c.inheritUntil) {
 		c.inheritUntil = time.Time{}
 		c.stale = true
 	}
 }
 
+// loadInterval is how often a busy scheduler logs its load.
+const loadInterval = time.Second
+
+func (c *Coordinator) logLoad(now time.Time) {
+	load := c.scheduler.Load(now)
+	if now.Sub(c.loadLogged) < loadInterval || load.Running+load.Queued == 0 || c.leader != nil {
+		return
+	}
+	c.loadLogged = now
+	c.options.Log.Info().Str("role", c.role.String()).Int("engines", load.Engines).Int("avoided", load.Avoided).
+		Int("queued", load.Queued).Int("running", load.Running).Int("writing", load.Writing).
+		Int("free_slots", load.FreeSlots).Int("free_tokens", load.FreeTokens).Dur("longest_pass", load.LongestPass).
+		Int("followers", len(c.followers)).Msg("coordinator: load")
+}
+
 // publish gives the present state to traffic and to the parts that choose targets.
 func (c *Coordinator) publish() {
 	view := &View{
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -90,6 +90,41 @@
 	return len(s.running)
 }
 
+// Load summarises the engines and the queue.
+type Load struct {
+	Engines int
+	// Avoided counts the engines that are suspected of failing.
+	Avoided int
+	Queued  int
+	// Running counts placed requests, and Writing those that are past their first event.
+	Running int
+	Writing int
+	// FreeSlots and FreeTokens are over all engines.
+	FreeSlots  int
+	FreeTokens int
+	// LongestPass is the longest pass under way.
+	LongestPass time.Duration
+}
+
+// Load returns the present load.
+func (s *Scheduler) Load(now time.Time) Load {
+	load := Load{
+		Engines: len(s.order),
+		Queued:  len(s.queue),
+		Running: len(s.running),
+	}
+	for _, e := range s.order {
+		if now.Before(e.avoidUntil) {
+			load.Avoided++
+		}
+		load.Writing += e.writers
+		load.FreeSlots += e.Slots - len(e.runs)
+		load.FreeTokens += e.free(s.settings.MemoryShare)
+		load.LongestPass = max(load.LongestPass, total(e.current)+e.writing())
+	}
+	return load
+}
+
 // Adopt takes over a request that another scheduler has placed.
 func (s *Scheduler) Adopt(now time.Time, r Request, p Placement, started bool) {
 	first := s.engines[p.Engine]
@@ -353,21 +388,29 @@
 	type option struct {
 		engine *engine
 		cost   time.Duration
+		harm   int
 		holds  bool
 	}
 	var options []option
 	for _, e := range candidates {
 		work := e.part(r.Prompt, parts)
-		if !s.fits(now, r, e, work, urgent) {
+		harm := s.harm(now, r, e, work)
+		if harm > 0 && !urgent {
 			continue
 		}
 		options = append(options, option{
 			engine: e,
 			cost:   e.ends(now, work).Sub(now) + s.disturbance(r, e, parts),
+			harm:   harm,
 			holds:  len(e.runs) < e.Slots && e.free(s.settings.MemoryShare) >= r.planned(),
 		})
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return int(a.cost - b.cost) })
+	slices.SortStableFunc(options, func(a, b option) int {
+		if a.harm != b.harm {
+			return a.harm - b.harm
+		}
+		return int(a.cost - b.cost)
+	})
 	if len(options) < parts {
 		return choice{}, false
 	}
@@ -375,9 +418,14 @@
 	if first < 0 {
 		readers := make([]*engine, 0, parts)
 		cost := time.Duration(0)
+		harm := 0
 		for _, o := range options[:parts] {
 			readers = append(readers, o.engine)
-			cost = o.cost
+			cost = max(cost, o.cost)
+			harm += o.harm
+		}
+		if !s.worthwhile(now, r, cost, harm) {
+			return choice{}, false
 		}
 		return s.share(r, readers, cost+time.Duration(parts)*s.settings.PartCost)
 	}
@@ -385,6 +433,7 @@
 		first: options[first].engine,
 		cost:  options[first].cost + time.Duration(parts)*s.settings.PartCost,
 	}
+	harm := options[first].harm
 	for i, o := range options {
 		if len(c.helpers) == parts-1 {
 			break
@@ -392,10 +441,16 @@
 		if i == first || o.engine.helping >= o.engine.Slots {
 			continue
 		}
+		harm += o.harm
 		c.helpers = append(c.helpers, o.engine)
 		c.cost = max(c.cost, o.cost+time.Duration(parts)*s.settings.PartCost)
 	}
-	return c, len(c.helpers) == parts-1
+	return c, len(c.helpers) == parts-1 && s.worthwhile(now, r, c.cost, harm)
+}
+
+// worthwhile reports whether a request gains more than it takes from others.
+func (s *Scheduler) worthwhile(now time.Time, r *Request, cost time.Duration, harm int) bool {
+	return harm == 0 || r.gain(now.Add(cost)) > (1-lateShare)*float64(harm)
 }
 
 // share divides the memory of a prompt that no engine can hold alone: the first engine takes what it can, the others
@@ -435,15 +490,10 @@
 // minReservation is the least memory worth an order, in tokens.
 const minReservation = 4096
 
-// fits reports whether a piece of reading makes no pause too long, or the request is urgent and worth more than what it
-// spoils.
-func (s *Scheduler) fits(now time.Time, r *Request, e *engine, work time.Duration, urgent bool) bool {
-	if work <= e.room(now, s.settings.PauseMargin) {
-		return true
-	}
-	if !urgent || now.Sub(r.Arrived) > r.Latency {
-		// Nothing is gained any more by spoiling others; the piece goes where nobody minds, or where it is short.
-		return work <= shortWork && e.backlog(now) < r.Latency
+// harm is the value that a piece of reading takes from the streams of an engine: those that would pause for too long.
+func (s *Scheduler) harm(now time.Time, r *Request, e *engine, work time.Duration) int {
+	if work <= shortWork && e.backlog(now) < r.Latency || work <= e.room(now, s.settings.PauseMargin) {
+		return 0
 	}
 	spoiled := 0
 	for _, other := range e.runs {
@@ -451,15 +501,19 @@
 			spoiled += other.request.value()
 		}
 	}
-	return spoiled < r.value()/disturbedParts
+	return spoiled
 }
 
-const (
-	// shortWork is reading that lengthens a pass by little.
-	shortWork = 60 * time.Millisecond
-	// disturbedParts divides the value of an urgent prompt among the engines that it disturbs.
-	disturbedParts = 4
-)
+// shortWork is reading that lengthens a pass by little.
+const shortWork = 60 * time.Millisecond
+
+// gain is the value of a request whose first event comes at a time.
+func (r *Request) gain(first time.Time) float64 {
+	if first.Sub(r.Arrived) > r.Latency {
+		return lateShare * float64(r.value())
+	}
+	return float64(r.value())
+}
 
 // value is what an answer is worth, in prompt tokens.
 func (r *Request) value() int {
