--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -394,6 +394,7 @@
 	c.options.Log.Info().Str("role", c.role.String()).Int("engines", load.Engines).Int("avoided", load.Avoided).
 		Int("queued", load.Queued).Int("running", load.Running).Int("writing", load.Writing).
 		Int("free_slots", load.FreeSlots).Int("free_tokens", load.FreeTokens).Dur("longest_pass", load.LongestPass).
+		Float64("pressure", load.Pressure).
 		Int("followers", len(c.followers)).Msg("coordinator: load")
 }
 
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -56,6 +56,7 @@
 	Priority int            `json:"priority,omitempty"`
 	Exclude  []namer.Target `json:"exclude,omitempty"`
 	Retried  bool           `json:"retried,omitempty"`
+	Returned bool           `json:"returned,omitempty"`
 }
 
 func encodeRequest(now time.Time, r scheduler.Request) requestMessage {
@@ -71,6 +72,7 @@
 		Priority: r.Priority,
 		Exclude:  r.Exclude,
 		Retried:  r.Retried,
+		Returned: r.Returned,
 	}
 }
 
@@ -87,6 +89,7 @@
 		Priority: m.Priority,
 		Exclude:  m.Exclude,
 		Retried:  m.Retried,
+		Returned: m.Returned,
 	}
 }
 
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -105,6 +105,15 @@
 	return false
 }
 
+// returnedShare is the share of a route's timeout below which a caller's remaining time shows an earlier attempt.
+const returnedShare = 0.9
+
+// returned reports whether the caller has been refused or has failed before.
+func (r *request) returned() bool {
+	left := r.deadline.Sub(r.received)
+	return float64(left) < returnedShare*float64(r.match.Route.Timeout-deadlineMargin)
+}
+
 func milliseconds(text string) time.Duration {
 	value, err := strconv.ParseFloat(text, 64)
 	if err != nil || value <= 0 || value > float64(maxRemaining.Milliseconds()) {
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -93,6 +93,7 @@
 		Priority: r.match.Priority,
 		Exclude:  excluded,
 		Retried:  retried,
+		Returned: r.returned(),
 	})
 	if err != nil {
 		return scheduler.Placement{}, t.server.ending(ctx, r, err)
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -32,6 +32,17 @@
 	Overdue time.Duration
 	// Patience is the time in the queue, as a multiple of the target latency, after which a request is refused.
 	Patience float64
+	// MaxPart is the longest reading of one part; longer ones would hold up an engine for too long.
+	MaxPart time.Duration
+	// PressureTime is the time over which the reading that is asked of the engines is averaged.
+	PressureTime time.Duration
+	// CalmPressure is the reading, as a share of what the engines can do, up to which every prompt is welcome. Above it, a
+	// prompt needs a value for its reading time of up to FullDensity (prompt tokens a second) at a pressure of 1: the work
+	// of a prompt grows with the square of its length, its value does not.
+	CalmPressure float64
+	FullDensity  float64
+	// HeavyHold is the share of the target latency for which a prompt below that value waits for calm before it is refused.
+	HeavyHold float64
 	// Urgent is the share of the target latency that must be left; a request with less may lengthen the pauses of others.
 	Urgent float64
 }
@@ -43,14 +54,19 @@
 		MaxParts:     16,
 		MinPart:      40 * time.Millisecond,
 		PartCost:     2 * time.Millisecond,
-		SharedCost:   8 * time.Millisecond,
+		SharedCost:   30 * time.Millisecond,
 		ReserveCost:  10 * time.Millisecond,
-		OpenCost:     60 * time.Millisecond,
+		OpenCost:     120 * time.Millisecond,
 		MemoryShare:  0.97,
 		Suspicion:    500 * time.Millisecond,
 		MaxSuspicion: 8 * time.Second,
 		Overdue:      1500 * time.Millisecond,
 		Patience:     2,
+		MaxPart:      600 * time.Millisecond,
+		PressureTime: 1500 * time.Millisecond,
+		CalmPressure: 0.45,
+		FullDensity:  70_000,
+		HeavyHold:    0.12,
 		Urgent:       0.4,
 	}
 }
@@ -87,6 +103,8 @@
 	Priority int
 	// Exclude lists engines that have failed this request.
 	Exclude []namer.Target
+	// Returned requests were refused before: their callers will not come a third time.
+	Returned bool
 	// Retried requests have been sent before: they wait no longer than needed.
 	Retried bool
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,12 @@
 	settings Settings
 	engines  map[namer.Target]*engine
 	// order holds the engines by id, so that the same events lead to the same decisions.
-	order   []*engine
-	queue   []*Request
-	running map[namer.Request]*run
+	order []*engine
+	queue []*Request
+	// pressure is the reading placed a second on each engine, averaged up to pressureAt.
+	pressure   float64
+	pressureAt time.Time
+	running    map[namer.Request]*run
 }
 
 // run is a placed request.
@@ -104,14 +108,18 @@
 	FreeTokens int
 	// LongestPass is the longest pass under way.
 	LongestPass time.Duration
+	// Pressure is the reading asked of the engines, as a share of what they can do.
+	Pressure float64
 }
 
 // Load returns the present load.
 func (s *Scheduler) Load(now time.Time) Load {
+	s.load(now, 0)
 	load := Load{
-		Engines: len(s.order),
-		Queued:  len(s.queue),
-		Running: len(s.running),
+		Pressure: s.pressure,
+		Engines:  len(s.order),
+		Queued:   len(s.queue),
+		Running:  len(s.running),
 	}
 	for _, e := range s.order {
 		if now.Before(e.avoidUntil) {
@@ -296,6 +304,23 @@
 	return nil
 }
 
+// load averages the pressure up to now and adds reading.
+func (s *Scheduler) load(now time.Time, work time.Duration) {
+	since := now.Sub(s.pressureAt)
+	s.pressure *= math.Exp(-float64(since) / float64(s.settings.PressureTime))
+	s.pressureAt = now
+	if len(s.order) > 0 {
+		s.pressure += float64(work) / float64(s.settings.PressureTime) / float64(len(s.order))
+	}
+}
+
+// heavy reports whether a prompt costs more reading than it is worth at the present pressure.
+func (s *Scheduler) heavy(now time.Time, r *Request) bool {
+	s.load(now, 0)
+	excess := (s.pressure - s.settings.CalmPressure) / (1 - s.settings.CalmPressure)
+	return excess > 0 && s.density(now, r) < excess*s.settings.FullDensity
+}
+
 func (s *Scheduler) decide(now time.Time, r *Request) Decision {
 	waited := now.Sub(r.Arrived)
 	refuse := func(reason RefuseReason, after time.Duration) Decision {
@@ -314,6 +339,16 @@
 	if !now.Before(r.Deadline) {
 		return refuse(TooLate, 0)
 	}
+	if !r.Retried && s.heavy(now, r) {
+		hold := time.Duration(s.settings.HeavyHold * float64(r.Latency))
+		if !r.Returned && waited > hold {
+			return refuse(Overload, r.Deadline.Sub(now)/retryShare)
+		}
+		if waited > time.Duration(s.settings.Patience*float64(r.Latency)) {
+			return refuse(Overload, 0)
+		}
+		return nil
+	}
 	placement, found := s.place(now, r)
 	if found {
 		placement.Waited = waited
@@ -331,6 +366,8 @@
 const (
 	// noEngineRetry is when a caller may try again if no engine is in service: an engine takes seconds to start.
 	noEngineRetry = time.Second
+	// retryShare divides the time that a caller has left: callers heed no longer delay than a third of it.
+	retryShare = 3
 	// overloadRetry is when a caller may try again after waiting in vain.
 	overloadRetry = time.Second
 )
@@ -347,7 +384,7 @@
 	work := readTime(&candidates[0].Speed, r.Prompt, 1)
 	most := max(1, min(s.settings.MaxParts, len(candidates), int(work/s.settings.MinPart)))
 	for parts := 1; parts <= most; parts++ {
-		c, found := s.choose(now, r, candidates, parts, urgent)
+		c, found := s.choose(now, r, candidates, parts, most, urgent)
 		if found && (best.first == nil || c.cost < best.cost) {
 			best = c
 		}
@@ -384,7 +421,7 @@
 }
 
 // choose finds the cheapest engines for a number of parts: those that end first, with what it costs to disturb others.
-func (s *Scheduler) choose(now time.Time, r *Request, candidates []*engine, parts int, urgent bool) (choice, bool) {
+func (s *Scheduler) choose(now time.Time, r *Request, candidates []*engine, parts, most int, urgent bool) (choice, bool) {
 	type option struct {
 		engine *engine
 		cost   time.Duration
@@ -394,6 +431,9 @@
 	var options []option
 	for _, e := range candidates {
 		work := e.part(r.Prompt, parts)
+		if work > s.settings.MaxPart && parts < most {
+			return choice{}, false
+		}
 		harm := s.harm(now, r, e, work)
 		if harm > 0 && !urgent {
 			continue
@@ -567,6 +607,7 @@
 	}
 	s.running[r.ID] = one
 	parts := len(c.helpers) + 1
+	s.load(now, readTime(&first.Speed, r.Prompt, 1))
 	one.expected = first.ends(now, first.part(r.Prompt, parts))
 	first.read(now, r.ID, first.part(r.Prompt, parts))
 	first.runs[r.ID] = one
