--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -88,6 +89,20 @@
 	departed     map[string]bool
 	inheritUntil time.Time
 	loadLogged   time.Time
+	// rank is this instance's place in the leader's line, -1 if it is not known.
+	rank int
+	// objects are the store's, as far as this instance knows them.
+	objects map[storer.Kind]map[string]storer.Object
+	// unfed are changes that a leader has yet to send on, fedAt is when it last did.
+	unfed []storer.Event
+	fedAt time.Time
+	// fed is set once the leader has described the store; leaderLostStore while the leader cannot ask it.
+	fed             bool
+	leaderLostStore bool
+	// stopWatching is nil while the store is not watched; watchWait is how long one watch waits.
+	stopWatching context.CancelFunc
+	watchWait    time.Duration
+	aloneSince   time.Time
 	lost         map[storer.Kind]bool
 	leaving      bool
 	stale        bool
@@ -109,6 +124,8 @@
 		owners:    map[namer.Request]*link{},
 		followers: map[*link]struct{}{},
 		departed:  map[string]bool{},
+		objects:   map[storer.Kind]map[string]storer.Object{},
+		rank:      -1,
 		lost:      map[storer.Kind]bool{},
 	}
 	rank, line := turn(o)
@@ -140,10 +157,8 @@
 
 // Run follows the store and serves messages until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	for _, kind := range []storer.Kind{c.options.Format.Rules, c.options.Format.Targets, c.options.Format.Evacuations} {
-		c.watch(ctx, kind)
-	}
 	go c.accept(ctx)
+	c.aloneSince = c.options.Clock.Now()
 	upkeep := c.options.Clock.After(upkeepInterval)
 	var decide <-chan time.Time
 	for {
@@ -184,8 +199,9 @@
 
 func (c *Coordinator) watch(ctx context.Context, kind storer.Kind) {
 	w := storer.NewWatcher(c.options.Store, storer.WatcherSettings{
-		Kind: kind,
-		Wait: c.options.WatchWait,
+		Kind:  kind,
+		Wait:  c.watchWait,
+		Known: maps.Clone(c.objects[kind]),
 		Deliver: func(e storer.Event) {
 			c.send(ctx, changed{
 				event: e,
@@ -317,6 +333,12 @@
 }
 
 func (c *Coordinator) change(now time.Time, e storer.Event) {
+	if !c.remember(e) {
+		return
+	}
+	if c.convener.Role() == convener.Leading {
+		c.unfed = append(c.unfed, e)
+	}
 	put := e.Type == storer.EventPut
 	switch e.Object.Kind {
 	case c.options.Format.Rules:
@@ -375,6 +397,8 @@
 	}
 	c.act(ctx, c.convener.Tick(now))
 	c.findSilent(now)
+	c.followStore(ctx, now)
+	c.feed(now)
 	c.logLoad(now)
 	if !c.inheritUntil.IsZero() && now.After(c.inheritUntil) {
 		c.inheritUntil = time.Time{}
--- /dev/null
+++ b/internal/coordinator/feed.go
@@ -0,0 +1,222 @@
+package coordinator
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+)
+
+const (
+	// readers is the number of instances that watch the store; the leader feeds the others, so that the calls do not grow
+	// with the deployment. Any of them can take over without listing first.
+	readers = 8
+	// feedInterval gathers changes before they are sent on: rules may change every 60 ms, and users allow 2 s.
+	feedInterval = 200 * time.Millisecond
+	// aloneTime is how long an instance that is not fed waits for a leader before it watches the store itself.
+	aloneTime = 700 * time.Millisecond
+	// feederWait is how long the watches of a leader wait that feeds others: its loss of the store is theirs.
+	feederWait = time.Second
+	// maxFeedBytes bounds what a leader may send; the largest rules are below the store's limit of 1 MB.
+	maxFeedBytes = 64 << 20
+)
+
+// kinds are the kinds of objects that every instance must know.
+func (c *Coordinator) kinds() []storer.Kind {
+	return []storer.Kind{c.options.Format.Rules, c.options.Format.Targets, c.options.Format.Evacuations}
+}
+
+// followStore starts or stops the watches, according to this instance's role and place in line.
+func (c *Coordinator) followStore(ctx context.Context, now time.Time) {
+	following := c.convener.Role() == convener.Following
+	if following && c.rank >= readers && !c.leaderLostStore {
+		if c.stopWatching != nil && c.fed {
+			c.stopWatching()
+			c.stopWatching = nil
+			clear(c.lost)
+			c.options.Log.Info().Int("rank", c.rank).Msg("coordinator: fed by the leader")
+		}
+		c.aloneSince = now
+		return
+	}
+	wait := c.options.WatchWait
+	if c.convener.Role() == convener.Leading && c.large() {
+		wait = min(wait, feederWait)
+	}
+	if c.stopWatching != nil && wait == c.watchWait || c.convener.Role() != convener.Leading && !c.due(now, following) {
+		return
+	}
+	if c.stopWatching != nil {
+		c.stopWatching()
+	}
+	c.watchWait = wait
+	watching, stop := context.WithCancel(ctx)
+	c.stopWatching = stop
+	c.options.Log.Info().Int("rank", c.rank).Msg("coordinator: watching the store")
+	for _, kind := range c.kinds() {
+		c.watch(watching, kind)
+	}
+}
+
+// large reports whether there are instances that do not watch the store.
+func (c *Coordinator) large() bool {
+	return max(len(c.followers)+1, len(c.members)) > readers
+}
+
+// takeLeaderStore notes whether the leader can ask the store; entries that lapse meanwhile may come back.
+func (c *Coordinator) takeLeaderStore(now time.Time, lost bool) {
+	if lost == c.leaderLostStore {
+		return
+	}
+	c.leaderLostStore = lost
+	if c.stopWatching == nil {
+		c.catalogue.SetStore(now, !lost)
+		c.aloneSince = now
+	}
+	c.options.Log.Info().Bool("lost", lost).Msg("coordinator: store of the leader")
+}
+
+// due reports whether an instance that does not lead should ask the store itself.
+func (c *Coordinator) due(now time.Time, following bool) bool {
+	if following && c.rank < readers && c.rank >= 0 {
+		return true
+	}
+	return now.Sub(c.aloneSince) > aloneTime
+}
+
+// remember keeps an object as the store has it, and reports whether it is new.
+func (c *Coordinator) remember(e storer.Event) bool {
+	objects := c.objects[e.Object.Kind]
+	if objects == nil {
+		objects = map[string]storer.Object{}
+		c.objects[e.Object.Kind] = objects
+	}
+	known, exists := objects[e.Object.Name]
+	if exists && known.Version > e.Object.Version || exists && known.Version == e.Object.Version && e.Type == storer.EventPut {
+		return false
+	}
+	if e.Type == storer.EventDelete {
+		delete(objects, e.Object.Name)
+		return exists
+	}
+	objects[e.Object.Name] = e.Object
+	return true
+}
+
+// feed sends gathered changes to the followers that do not watch the store.
+func (c *Coordinator) feed(now time.Time) {
+	if len(c.unfed) == 0 || now.Sub(c.fedAt) < feedInterval {
+		return
+	}
+	events := c.unfed
+	c.unfed = nil
+	c.fedAt = now
+	if c.convener.Role() != convener.Leading {
+		return
+	}
+	var message *objectsMessage
+	for i, p := range c.told.Line {
+		if i < readers {
+			continue
+		}
+		for l := range c.followers {
+			if l.member.Name != p.Name {
+				continue
+			}
+			if message == nil {
+				message = c.pack(events, false)
+			}
+			l.notify(methodObjects, message)
+		}
+	}
+}
+
+// feedAll sends all objects to a follower.
+func (c *Coordinator) feedAll(l *link) {
+	var events []storer.Event
+	for _, kind := range c.kinds() {
+		for _, o := range c.objects[kind] {
+			events = append(events, storer.Event{
+				Type:   storer.EventPut,
+				Object: o,
+			})
+		}
+	}
+	if len(events) > 0 {
+		l.notify(methodObjects, c.pack(events, true))
+	}
+}
+
+func (c *Coordinator) pack(events []storer.Event, whole bool) *objectsMessage {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	err := json.NewEncoder(w).Encode(events)
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("coordinator: objects not packed")
+	}
+	return &objectsMessage{
+		Whole:  whole,
+		Events: packed.Bytes(),
+	}
+}
+
+// takeObjects applies what the leader knows of the store.
+func (c *Coordinator) takeObjects(now time.Time, m objectsMessage) error {
+	r, err := gzip.NewReader(bytes.NewReader(m.Events))
+	if err != nil {
+		return err
+	}
+	var events []storer.Event
+	if err := json.NewDecoder(io.LimitReader(r, maxFeedBytes)).Decode(&events); err != nil {
+		return err
+	}
+	if m.Whole {
+		events = append(c.absent(events), events...)
+	}
+	for _, e := range events {
+		c.change(now, e)
+	}
+	c.fed = true
+	return nil
+}
+
+// absent returns deletions of the objects that a whole description lacks. Instances that watch the store know better.
+func (c *Coordinator) absent(events []storer.Event) []storer.Event {
+	if c.stopWatching != nil && c.rank < readers {
+		return nil
+	}
+	var gone []storer.Event
+	for _, kind := range c.kinds() {
+		for name, o := range c.objects[kind] {
+			listed := slices.ContainsFunc(events, func(e storer.Event) bool {
+				return e.Object.Kind == kind && e.Object.Name == name
+			})
+			if !listed {
+				gone = append(gone, storer.Event{
+					Type:   storer.EventDelete,
+					Object: o,
+				})
+			}
+		}
+	}
+	return gone
+}
+
+// storeLost reports whether any watch of this instance fails.
+func (c *Coordinator) storeLost() bool {
+	for _, kind := range c.kinds() {
+		if c.lost[kind] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -197,6 +197,9 @@
 	}
 	c.leader.close()
 	c.leader = nil
+	c.fed = false
+	c.leaderLostStore = false
+	c.aloneSince = c.options.Clock.Now()
 	c.stale = true
 	for _, w := range c.waiting {
 		c.scheduler.Submit(w.request)
@@ -269,6 +272,9 @@
 		c.options.Log.Info().Str("member", request.Member.Name).Msg("coordinator: follower joined")
 	}
 	m.answer(answer)
+	if answer.Accepted && (len(c.followers) >= readers || !request.Known) {
+		c.feedAll(m.link)
+	}
 }
 
 func (c *Coordinator) takeFollower(now time.Time, m inbound) error {
@@ -279,7 +285,9 @@
 				m.link.ready = p.Ready
 				c.stale = true
 			}
-			m.link.notify(methodPong, pongMessage{})
+			m.link.notify(methodPong, pongMessage{
+				StoreLost: c.storeLost(),
+			})
 		})
 	case methodSubmit:
 		return receive(m, func(r requestMessage) {
@@ -311,6 +319,16 @@
 
 func (c *Coordinator) takeLeader(now time.Time, m inbound) error {
 	switch m.method {
+	case methodPong:
+		return receive(m, func(p pongMessage) {
+			c.takeLeaderStore(now, p.StoreLost)
+		})
+	case methodObjects:
+		var objects objectsMessage
+		if err := json.Unmarshal(m.params, &objects); err != nil {
+			return err
+		}
+		return c.takeObjects(now, objects)
 	case methodDecision:
 		return receive(m, func(d decisionMessage) {
 			c.takeDecision(now, d)
@@ -321,6 +339,7 @@
 			rank := slices.IndexFunc(list.Line, func(p convener.Peer) bool {
 				return p.Name == c.options.Self.Name
 			})
+			c.rank = rank
 			c.convener.SetLine(list.Line, max(0, rank))
 			c.stale = true
 		})
@@ -432,6 +451,7 @@
 		return
 	}
 	c.told = message
+	c.rank = 0
 	for l := range c.followers {
 		l.notify(methodMembers, message)
 	}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -20,11 +20,14 @@
 	methodEnded    = "ended"
 	methodDecision = "decision"
 	methodMembers  = "members"
+	methodObjects  = "objects"
 )
 
 // joinRequest asks to follow.
 type joinRequest struct {
 	Member Member `json:"member"`
+	// Known is set if the follower knows the rules.
+	Known bool `json:"known,omitempty"`
 }
 
 // joinAnswer accepts a follower or names the leader to ask instead.
@@ -41,7 +44,18 @@
 }
 
 // pongMessage shows that the leader's control goroutine runs.
-type pongMessage struct{}
+type pongMessage struct {
+	// StoreLost is set while the store does not answer the leader: followers that it feeds then ask the store themselves.
+	StoreLost bool `json:"store_lost,omitempty"`
+}
+
+// objectsMessage carries objects of the store to followers that do not watch it.
+type objectsMessage struct {
+	// Whole is set if the events describe all objects; others are gone.
+	Whole bool `json:"whole,omitempty"`
+	// Events are compressed JSON: rules repeat their words in each route.
+	Events []byte `json:"events"`
+}
 
 // requestMessage carries a request; ages instead of times, since clocks of instances differ.
 type requestMessage struct {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,7 +104,7 @@
 		_, err := buffers.WriteTo(conn)
 		a.written <- err
 	}()
-	response, err := readResponse(bufio.NewReaderSize(conn, readBuffer), o.Method)
+	response, err := readResponse(bufio.NewReaderSize(conn, readBuffer), o.Method) //nolint:bodyclose // Answer.Close closes the connection
 	if err != nil {
 		a.Close()
 		return nil, &SendError{
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -440,7 +440,7 @@
 		}
 		options = append(options, option{
 			engine: e,
-			cost:   e.ends(now, work).Sub(now) + s.disturbance(r, e, parts),
+			cost:   e.ends(now, work).Sub(now) + s.disturbance(e, parts),
 			harm:   harm,
 			holds:  len(e.runs) < e.Slots && e.free(s.settings.MemoryShare) >= r.planned(),
 		})
@@ -562,7 +562,7 @@
 
 // disturbance is the cost of reading beside streams that tolerate short pauses only, or of putting such a stream on an
 // engine without them.
-func (s *Scheduler) disturbance(r *Request, e *engine, parts int) time.Duration {
+func (s *Scheduler) disturbance(e *engine, parts int) time.Duration {
 	_, shared := e.tolerance()
 	switch {
 	case parts > 1 && shared:
--- a/pkg/storer/watcher.go
+++ b/pkg/storer/watcher.go
@@ -28,6 +28,8 @@
 	Wait time.Duration
 	// Deliver, if set, receives each change in order, on the goroutine of Run.
 	Deliver func(Event)
+	// Known are objects that are known from elsewhere: the first list delivers only what differs from them.
+	Known map[string]Object
 	// Report, if set, receives the error of each call, or nil, on the goroutine of Run.
 	Report func(error)
 }
@@ -47,6 +49,9 @@
 	return &Watcher{
 		client:   client,
 		settings: settings,
+		cache: cache{
+			objects: settings.Known,
+		},
 	}
 }
 
