--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -200,6 +200,7 @@
 			Callers:    s.Listen.Callers,
 			Peers:      s.Listen.Peers,
 			DataCentre: s.DataCentre,
+			Strong:     s.Gateway.ProcessorShare >= leaderShare,
 		},
 		Store:     store,
 		Format:    platform.Format(),
@@ -261,6 +262,9 @@
 	return nil
 }
 
+// leaderShare is the share of a core that makes an instance a good leader: leading 85 took 0.16 of one.
+const leaderShare = 0.3
+
 const (
 	// budgetCaution keeps a part of the shared retry budget free, since instances count windows that differ.
 	budgetCaution = 0.75
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -59,6 +59,9 @@
 	c.duration("gateway.address_validity", g.AddressValidity, 100*time.Millisecond, time.Minute)
 	c.duration("gateway.watch_wait", g.WatchWait, 100*time.Millisecond, 30*time.Second)
 	c.integer("gateway.retry_extra", g.RetryExtra, 0, 1_000_000)
+	if g.ProcessorShare <= 0 || g.ProcessorShare > 1024 {
+		c.failed("gateway.processor_share", "%v is out of range: set it to the share of a core, like 0.4", g.ProcessorShare)
+	}
 	if g.RetryRatio < 0 || g.RetryRatio > 1 {
 		c.failed("gateway.retry_ratio", "%v is out of range: set it to 0 up to 1", g.RetryRatio)
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -32,6 +32,8 @@
 	Readiness string `yaml:"readiness"`
 	Directory string `yaml:"directory"`
 	Metrics   string `yaml:"metrics"`
+	// ProcessorShare is the share of a core that the instance may use; instances with little are the last to lead.
+	ProcessorShare float64 `yaml:"processor_share"`
 	// GracePeriod is the time between the stop signal and the end of the process.
 	GracePeriod time.Duration `yaml:"grace_period"`
 	// RetryRatio is the share of requests that all instances together may send once more within RetryWindow, beside
@@ -118,6 +120,7 @@
 			Reconcile:       2 * time.Second,
 		},
 		Gateway: Gateway{
+			ProcessorShare:  1,
 			GracePeriod:     8 * time.Second,
 			RetryRatio:      0.2,
 			RetryWindow:     10 * time.Second,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -134,9 +134,11 @@
 	return c
 }
 
-// turn returns this instance's rank among the seeds, and the seeds as peers.
+// turn returns this instance's rank when nobody leads, and the seeds as peers. Strong seeds come first, then other strong
+// instances, then the weak ones.
 func turn(o Options) (int, []convener.Peer) {
-	rank := len(o.Seeds) + rand.IntN(o.Convener.MaxRank)
+	half := o.Convener.MaxRank / 2
+	rank := len(o.Seeds) + rand.IntN(half-len(o.Seeds)%half)
 	line := make([]convener.Peer, 0, len(o.Seeds))
 	for i, seed := range o.Seeds {
 		if seed == o.Self.Peers {
@@ -147,6 +149,9 @@
 			Address: seed,
 		})
 	}
+	if !o.Self.Strong {
+		rank += half
+	}
 	return rank, line
 }
 
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -87,6 +87,8 @@
 	Callers    string           `json:"callers"`
 	Peers      string           `json:"peers"`
 	DataCentre namer.DataCentre `json:"data_centre"`
+	// Strong members lead before others: they have the processor time for it.
+	Strong bool `json:"strong,omitempty"`
 }
 
 // decideInterval is how often the queue is looked at while requests wait; engines finish reading at any time.
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/convener"
@@ -430,19 +431,7 @@
 	if c.convener.Role() != convener.Leading {
 		return
 	}
-	line := []convener.Peer{c.self()}
-	for l := range c.followers {
-		line = append(line, convener.Peer{
-			Name:    l.member.Name,
-			Address: l.member.Peers,
-		})
-	}
-	slices.SortFunc(line[1:], func(a, b convener.Peer) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	line := c.line()
 	message := membersMessage{
 		Members: list,
 		Line:    line,
@@ -457,6 +446,31 @@
 	}
 }
 
+// line returns this leader and its followers in the order in which they would lead: strong ones first.
+func (c *Coordinator) line() []convener.Peer {
+	followers := make([]Member, 0, len(c.followers))
+	for l := range c.followers {
+		followers = append(followers, l.member)
+	}
+	slices.SortFunc(followers, func(a, b Member) int {
+		if a.Strong != b.Strong {
+			if a.Strong {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	line := []convener.Peer{c.self()}
+	for _, f := range followers {
+		line = append(line, convener.Peer{
+			Name:    f.Name,
+			Address: f.Peers,
+		})
+	}
+	return line
+}
+
 // findSilent cuts off followers that say nothing.
 func (c *Coordinator) findSilent(now time.Time) {
 	for l := range c.followers {
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -18,6 +18,8 @@
 	Unreachable time.Duration
 	// Check is how often a leader looks whether the store still names it.
 	Check time.Duration
+	// Hesitations is how often a peer that lives but does not lead is asked again.
+	Hesitations int
 	// Retry is how long an instance that reached nobody leads itself alone before it searches again.
 	Retry time.Duration
 }
@@ -31,6 +33,7 @@
 		MaxRank:     16,
 		Unreachable: 2 * time.Second,
 		Check:       3 * time.Second,
+		Hesitations: 3,
 		Retry:       time.Second,
 	}
 }
@@ -111,8 +114,10 @@
 	// takeover is set when the next step is to name this instance.
 	takeover bool
 	// line are the peers to try while the store is away.
-	line        []Peer
-	tries       int
+	line  []Peer
+	tries int
+	// hesitations counts the answers of peers that do not lead yet.
+	hesitations int
 	unreachable map[string]time.Time
 	heard       time.Time
 	pinged      time.Time
@@ -192,6 +197,7 @@
 	c.pending = false
 	c.takeover = false
 	c.tries = 0
+	c.hesitations = 0
 }
 
 // Lost records that the connection to the leader has broken.
@@ -290,6 +296,12 @@
 // Redirected records that a peer follows another one.
 func (c *Convener) Redirected(now time.Time, from, to Peer) []Action {
 	c.pending = false
+	if to.Address == "" && c.hesitations < c.settings.Hesitations {
+		// The peer lives and is about to lead, or looks for a leader itself.
+		c.hesitations++
+		c.next = now.Add(c.settings.Ping)
+		return nil
+	}
 	if to.Address == "" || to.Address == c.self.Address || c.avoided(now, to) {
 		return c.Refused(now, from)
 	}
