--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -19,6 +19,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/configurer"
 	"bergamothollow.example/bergamothollow/internal/coordinator"
+	"bergamothollow.example/bergamothollow/internal/dropper"
 	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/internal/messenger"
 	"bergamothollow.example/bergamothollow/internal/receiver"
@@ -51,6 +52,8 @@
 	// minimumLeave is how long a leaving instance goes on serving: callers keep an address up to three times its
 	// validity.
 	minimumLeave = 3500 * time.Millisecond
+	// lastLines lets the last lines of the log leave; other goroutines may still write some.
+	lastLines = 50 * time.Millisecond
 	// leavePoll is how often a leaving instance looks whether its requests have ended.
 	leavePoll = 50 * time.Millisecond
 )
@@ -88,6 +91,7 @@
 	control  *coordinator.Coordinator
 	receiver *receiver.Server
 	desk     *receiver.Desk
+	lines    *dropper.Dropper
 }
 
 // run serves until the context ends, and then leaves.
@@ -161,7 +165,9 @@
 		}
 		<-clock.After(leavePoll)
 	}
-	i.logger.Info().Int("active", i.receiver.Active()).Dur("took", clock.Now().Sub(began)).Msg("gateway: left")
+	i.logger.Info().Int("active", i.receiver.Active()).Dur("took", clock.Now().Sub(began)).
+		Int64("lines_dropped", i.lines.Dropped()).Msg("gateway: left")
+	time.Sleep(lastLines)
 	return nil
 }
 
@@ -172,11 +178,13 @@
 	}
 	s := i.settings
 	name := string(s.Instance) + "." + hex.EncodeToString(incarnation)
+	i.lines = dropper.New(i.options.Factory.Out, i.options.Factory.Clock)
+	go i.lines.Run()
 	i.logger = &log.Logger{
 		Level:   log.InfoLevel,
 		Context: log.NewContext(nil).Str("instance", name).Value(),
 		Writer: &log.IOWriter{
-			Writer: i.options.Factory.Out,
+			Writer: i.lines,
 		},
 	}
 	plain, err := platform.NewStore(s.Platform.Address, s.Platform.Timeout)
@@ -229,6 +237,10 @@
 		listeners[address] = listener
 	}
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bergamothollow_log_lines_dropped_total",
+		Help: "Lines that were not logged, since the output did not keep up or a second had too many.",
+	}, func() float64 { return float64(i.lines.Dropped()) }))
 	g := s.Gateway
 	i.receiver = receiver.New(receiver.Options{
 		Listener: listeners[s.Listen.Callers],
--- a/internal/cmd/registrar.go
+++ b/internal/cmd/registrar.go
@@ -14,6 +14,7 @@
 	keycreator "bergamothollow.example/bergamothollow/internal/cmd/key/create"
 	refusalslister "bergamothollow.example/bergamothollow/internal/cmd/refusals"
 	statusreporter "bergamothollow.example/bergamothollow/internal/cmd/status"
+	teller "bergamothollow.example/bergamothollow/internal/cmd/story"
 	targetadder "bergamothollow.example/bergamothollow/internal/cmd/target/add"
 	targetrestorer "bergamothollow.example/bergamothollow/internal/cmd/target/in"
 	targetremover "bergamothollow.example/bergamothollow/internal/cmd/target/out"
@@ -40,6 +41,7 @@
 		noun(f, "key", "make keys for approvals", keycreator.NewCommand(f)),
 		statusreporter.NewCommand(f),
 		refusalslister.NewCommand(f),
+		teller.NewCommand(f),
 	}
 }
 
--- /dev/null
+++ b/internal/cmd/story/doc.go
@@ -0,0 +1,2 @@
+// Package teller implements `bergamothollow story`, which follows one request through a log.
+package teller
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,328 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"bergamothollow.example/bergamothollow/internal/emulator/keeper"
+	"bergamothollow.example/bergamothollow/internal/messenger"
+	"bergamothollow.example/bergamothollow/pkg/balancer"
+	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+const (
+	kindRules       storer.Kind = "rules"
+	kindTargets     storer.Kind = "targets"
+	kindEvacuations storer.Kind = "evacuations"
+	kindLeaders     storer.Kind = "leaders"
+)
+
+// watched adds watches to a store in memory; it counts the calls.
+type watched struct {
+	*keeper.Keeper
+	calls *atomic.Int64
+	down  *atomic.Bool
+}
+
+func newStore() watched {
+	return watched{
+		Keeper: keeper.New(),
+		calls:  &atomic.Int64{},
+		down:   &atomic.Bool{},
+	}
+}
+
+func (w watched) List(ctx context.Context, kind storer.Kind, prefix, after string, limit int) (storer.Listing, error) {
+	w.calls.Add(1)
+	if w.down.Load() {
+		return storer.Listing{}, &storer.UnavailableError{Cause: io.ErrClosedPipe}
+	}
+	return w.Keeper.List(ctx, kind, prefix, after, limit)
+}
+
+func (w watched) Watch(ctx context.Context, kind storer.Kind, after int64, wait time.Duration) (storer.Changes, error) {
+	w.calls.Add(1)
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		if w.down.Load() {
+			return storer.Changes{}, &storer.UnavailableError{Cause: io.ErrClosedPipe}
+		}
+		listing, err := w.Keeper.List(ctx, kind, "", "", 1000)
+		if err != nil {
+			return storer.Changes{}, err
+		}
+		var changes storer.Changes
+		for _, o := range listing.Items {
+			if o.Version > after {
+				changes.Events = append(changes.Events, storer.Event{Type: storer.EventPut, Object: o})
+				changes.Version = max(changes.Version, o.Version)
+			}
+		}
+		if len(changes.Events) > 0 {
+			return changes, nil
+		}
+	}
+	return storer.Changes{Version: after}, ctx.Err()
+}
+
+func format() Format {
+	return Format{
+		Rules:       kindRules,
+		RulesName:   "main",
+		Targets:     kindTargets,
+		Evacuations: kindEvacuations,
+		Leaders:     kindLeaders,
+		DecodeRules: func(value json.RawMessage) (matcher.Rules, error) {
+			var rules matcher.Rules
+			return rules, json.Unmarshal(value, &rules)
+		},
+		DecodeTarget: func(_ string, value json.RawMessage, _ time.Time) (cataloguer.Target, error) {
+			var target cataloguer.Target
+			return target, json.Unmarshal(value, &target)
+		},
+	}
+}
+
+func putRules(store watched, version int64) {
+	store.Put(kindRules, "main", matcher.Rules{
+		Version: version,
+		Services: []matcher.Service{{
+			Name: "scribe",
+			Engine: &matcher.Engine{
+				MemoryTokens: 100_000,
+				Step:         time.Millisecond,
+				ReadRate:     100_000,
+				ChunkTokens:  2048,
+				StepsPerPass: 40,
+			},
+		}},
+	})
+}
+
+func putEngine(store watched, name string) {
+	store.Put(kindTargets, name, cataloguer.Target{
+		ID:      namer.Target(name),
+		Service: "scribe",
+		Address: "127.0.0.1:1",
+		Slots:   16,
+	})
+}
+
+type instance struct {
+	*Coordinator
+	stop context.CancelFunc
+}
+
+func startInstance(t *testing.T, store watched, i int, seeds ...string) instance {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := fmt.Sprintf("entry-%02d", i)
+	address := listener.Addr().String()
+	if len(seeds) == 0 {
+		seeds = []string{address}
+	}
+	c := New(Options{
+		Self: Member{
+			Name:     name,
+			Instance: namer.Instance(name),
+			Callers:  name,
+			Peers:    address,
+			Strong:   true,
+		},
+		Peers:   listener,
+		Seeds:   seeds,
+		Traffic: &messenger.Traffic{},
+		Store: storer.NewClient(store, storer.DefaultClientSettings(1000), timer.System{},
+			rand.New(rand.NewPCG(1, uint64(i)))),
+		Format:    format(),
+		Clock:     timer.System{},
+		Log:       &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		WatchWait: time.Second,
+		Catalogue: cataloguer.Settings{Return: time.Second},
+		Scheduler: scheduler.DefaultSettings(),
+		Balancer:  balancer.DefaultSettings(),
+		Convener:  convener.DefaultSettings(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := func() {
+		cancel()
+		_ = listener.Close()
+	}
+	t.Cleanup(stop)
+	go c.Run(ctx)
+	return instance{
+		Coordinator: c,
+		stop:        stop,
+	}
+}
+
+// eventually waits for a condition that takes messages between instances.
+func eventually(t *testing.T, within time.Duration, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", within, what)
+}
+
+func (i instance) knows(version int64, members int) bool {
+	view := i.View()
+	return view.Rules != nil && view.Rules.Rules.Version == version && len(view.Members) == members
+}
+
+func place(t *testing.T, i instance, id string) scheduler.Placement {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	now := time.Now()
+	decision, err := i.Place(ctx, scheduler.Request{
+		ID:       namer.Request(id),
+		Service:  "scribe",
+		Prompt:   1000,
+		Output:   100,
+		Arrived:  now,
+		Latency:  time.Second,
+		Deadline: now.Add(5 * time.Second),
+	})
+	placed, ok := decision.(scheduler.Place)
+	if err != nil || !ok {
+		t.Fatalf("%s: %v, %v", id, decision, err)
+	}
+	return placed.Placement
+}
+
+// Guards against instances that choose the same engine, since each knows its own work only.
+func TestLeaderPlacesForAll(t *testing.T) {
+	store := newStore()
+	putRules(store, 1)
+	for _, name := range []string{"a", "b"} {
+		putEngine(store, name)
+	}
+	first := startInstance(t, store, 0)
+	second := startInstance(t, store, 1, first.options.Self.Peers)
+	for _, i := range []instance{first, second} {
+		eventually(t, 5*time.Second, "both know both", func() bool { return i.knows(1, 2) })
+	}
+	used := map[namer.Target]int{}
+	for n := range 32 {
+		used[place(t, []instance{first, second}[n%2], fmt.Sprint(n)).Engine]++
+	}
+	if used["a"] != 16 || used["b"] != 16 {
+		t.Errorf("32 requests on two engines of 16 slots: %v", used)
+	}
+}
+
+// Guards against requests that wait for a leader that is gone.
+func TestLeaderLost(t *testing.T) {
+	store := newStore()
+	putRules(store, 1)
+	putEngine(store, "a")
+	first := startInstance(t, store, 0)
+	second := startInstance(t, store, 1, first.options.Self.Peers)
+	eventually(t, 5*time.Second, "the follower has joined", func() bool { return first.knows(1, 2) && second.knows(1, 2) })
+	first.stop()
+	place(t, second, "after")
+	eventually(t, 4*time.Second, "the lost leader is no longer named", func() bool {
+		return !slices.ContainsFunc(second.View().Members, func(m Member) bool { return m.Instance == "entry-00" })
+	})
+}
+
+// Guards against an instance without rules that could have had them from a peer, when it starts while the store is away.
+func TestRulesFromAPeer(t *testing.T) {
+	store := newStore()
+	putRules(store, 3)
+	putEngine(store, "a")
+	first := startInstance(t, store, 0)
+	eventually(t, 5*time.Second, "rules", func() bool { return first.knows(3, 1) })
+	away := newStore()
+	away.down.Store(true)
+	away.Order(keeper.Faults{Down: true})
+	second := startInstance(t, away, 1, first.options.Self.Peers)
+	eventually(t, 5*time.Second, "rules from the leader", func() bool { return second.knows(3, 2) })
+	place(t, second, "one")
+}
+
+// Guards against calls to the store that grow with the deployment, and against instances that are fed old rules.
+func TestManyInstancesAreFed(t *testing.T) {
+	store := newStore()
+	putRules(store, 1)
+	putEngine(store, "a")
+	const count = 14
+	all := []instance{startInstance(t, store, 0)}
+	for i := 1; i < count; i++ {
+		all = append(all, startInstance(t, store, i, all[0].options.Self.Peers))
+	}
+	for _, i := range all {
+		eventually(t, 8*time.Second, "all know all", func() bool { return i.knows(1, count) })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	before := store.calls.Load()
+	time.Sleep(2 * time.Second)
+	// Each reader has a watch a second or two under way for each of three kinds.
+	if calls := store.calls.Load() - before; calls > 3*3*(readers+1) {
+		t.Errorf("%d calls in two seconds", calls)
+	}
+	putRules(store, 2)
+	for _, i := range all {
+		eventually(t, 2*time.Second, "new rules", func() bool { return i.View().Rules.Rules.Version == 2 })
+	}
+}
+
+// Guards against rules of an older version coming back (a lagging leader, or an answer that overtakes another).
+func TestOlderRulesAreIgnored(t *testing.T) {
+	store := newStore()
+	putRules(store, 5)
+	one := startInstance(t, store, 0)
+	eventually(t, 5*time.Second, "rules", func() bool { return one.knows(5, 1) })
+	putRules(store, 4)
+	time.Sleep(300 * time.Millisecond)
+	if version := one.View().Rules.Rules.Version; version != 5 {
+		t.Errorf("version %d is in force", version)
+	}
+}
+
+// Guards against places that stay taken when a caller leaves while its request waits or is being placed.
+func TestWithdrawnRequests(t *testing.T) {
+	store := newStore()
+	putRules(store, 1)
+	putEngine(store, "a")
+	one := startInstance(t, store, 0)
+	eventually(t, 5*time.Second, "engine", func() bool { return one.knows(1, 1) && len(one.View().Catalogue.Targets) == 1 })
+	for n := range 40 {
+		ctx, cancel := context.WithCancel(context.Background())
+		if n%2 == 0 {
+			cancel()
+		}
+		_, err := one.Place(ctx, scheduler.Request{
+			ID: namer.Request(fmt.Sprint(n)), Service: "scribe", Prompt: 1000, Output: 10, Arrived: time.Now(),
+			Latency: time.Second, Deadline: time.Now().Add(time.Second),
+		})
+		if err == nil {
+			one.Ended(namer.Request(fmt.Sprint(n)), scheduler.Cancelled, "")
+		}
+		cancel()
+	}
+	for n := range 16 {
+		place(t, one, fmt.Sprint("last-", n))
+	}
+}
--- /dev/null
+++ b/internal/dropper/dropper_test.go
@@ -0,0 +1,75 @@
+package dropper
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+type stalled struct{}
+
+func (stalled) Write([]byte) (int, error) {
+	select {}
+}
+
+type failing struct{}
+
+func (failing) Write([]byte) (int, error) {
+	return 0, errors.New("output closed")
+}
+
+// Guards against requests that wait for a log that nobody reads.
+func TestStalledOutputDelaysNobody(t *testing.T) {
+	d := New(stalled{}, timer.System{})
+	go d.Run()
+	began := time.Now()
+	for range 3 * queueLines {
+		_, _ = d.Write([]byte("line\n"))
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("writing took %s", took)
+	}
+	if d.Dropped() == 0 {
+		t.Error("no line was counted as dropped")
+	}
+	began = time.Now()
+	d.Close(50 * time.Millisecond)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("closing took %s", took)
+	}
+}
+
+// Guards against a volume that grows without bound under load, and against drops that nobody is told of.
+func TestVolumeIsBounded(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000, 0))
+	var output bytes.Buffer
+	d := New(&output, clock)
+	go d.Run()
+	for range maxLinesPerSecond + 500 {
+		_, _ = d.Write([]byte("line\n"))
+	}
+	clock.Advance(time.Second)
+	_, _ = d.Write([]byte("later\n"))
+	d.Close(time.Hour)
+	if d.Dropped() != 500 {
+		t.Errorf("%d lines dropped", d.Dropped())
+	}
+	if text := output.String(); !strings.Contains(text, `"dropped":500`) || !strings.HasSuffix(text, "later\n") {
+		t.Errorf("the log ends with %q", text[max(0, len(text)-200):])
+	}
+}
+
+// Guards against a failing output that is not noticed.
+func TestFailingOutputIsCounted(t *testing.T) {
+	d := New(failing{}, timer.System{})
+	go d.Run()
+	_, _ = d.Write([]byte("line\n"))
+	d.Close(time.Second)
+	if d.Dropped() != 1 {
+		t.Errorf("%d lines counted", d.Dropped())
+	}
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -26,6 +26,11 @@
 	verdictUnknown
 )
 
+// String returns the name used in logs and metrics.
+func (v verdict) String() string {
+	return [...]string{"answered", "not_run", "unreached", "unknown"}[v]
+}
+
 // destination is the target of one attempt.
 type destination struct {
 	id      namer.Target
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -23,17 +23,21 @@
 func (s *Server) call(ctx context.Context, r *request, w *writer) *refusal {
 	var excluded []namer.Target
 	var last error
-	for range maxRejections {
+	previous := verdictAnswer
+	for attempt := range maxRejections {
 		target, found := s.options.Control.Pick(r.service.Name, excluded)
 		if !found {
 			break
 		}
+		if attempt > 0 {
+			s.options.Metrics.retried(previous)
+		}
 		d := destination{
 			id:      target.ID,
 			address: target.Address,
 		}
 		answer, result, err := s.send(ctx, r, d, r.lastEvent)
-		last = err
+		last, previous = err, result
 		var body []byte
 		if result == verdictAnswer {
 			body, err = readWhole(answer)
@@ -95,7 +99,7 @@
 }
 
 func (s *Server) logAttempt(r *request, d destination, v verdict, err error) {
-	line := s.options.Log.Info().Str("request", string(r.id)).Str("target", string(d.id)).Int("verdict", int(v)).
+	line := s.options.Log.Info().Str("request", string(r.id)).Str("target", string(d.id)).Str("verdict", v.String()).
 		Dur("at", s.options.Clock.Now().Sub(r.received))
 	if d.helpers != "" {
 		line = line.Str("helpers", d.helpers)
--- /dev/null
+++ b/internal/receiver/fixture_test.go
@@ -0,0 +1,233 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bergamothollow.example/bergamothollow/internal/coordinator"
+	"bergamothollow.example/bergamothollow/internal/emulator/keeper"
+	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/internal/messenger"
+	"bergamothollow.example/bergamothollow/pkg/balancer"
+	"bergamothollow.example/bergamothollow/pkg/cataloguer"
+	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/retrier"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// names are header names of this test's own, so that nothing depends on those of a platform.
+var names = forwarder.HeaderNames{
+	RequestID:        "Test-Request",
+	Remaining:        "Test-Remaining",
+	Key:              "Test-Key",
+	Customer:         "Test-Customer",
+	Tokens:           "Test-Tokens",
+	LengthHint:       "Test-Length",
+	LastEvent:        "Last-Event-Id",
+	ExpectedInstance: "Test-Instance",
+	Priority:         "Test-Priority",
+	Helpers:          "Test-Helpers",
+	Receipt:          "Test-Receipt",
+	NotRun:           "Test-Not-Run",
+	FaultyTarget:     "Test-Faulty",
+	RetryAfter:       "Retry-After",
+}
+
+type fixture struct {
+	url    string
+	server *Server
+}
+
+func rules() matcher.Rules {
+	route := func(name string, kind matcher.Kind, service namer.Service) matcher.Route {
+		return matcher.Route{
+			Name:          name,
+			Host:          "host",
+			Prefix:        "/" + name + "/",
+			Kind:          kind,
+			Timeout:       3 * time.Second,
+			TargetLatency: 2 * time.Second,
+			MaxAttempts:   2,
+			Resumable:     kind == matcher.Streaming,
+			Split:         []matcher.Share{{Service: service, Weight: 1}},
+		}
+	}
+	return matcher.Rules{
+		Version: 1,
+		Keyed:   true,
+		Routes: []matcher.Route{
+			route("stream", matcher.Streaming, "engine"),
+			route("pay", matcher.NonIdempotent, "plain"),
+			route("look", matcher.Idempotent, "plain"),
+		},
+		Services: []matcher.Service{
+			{Name: "plain"},
+			{Name: "engine", Engine: &matcher.Engine{
+				MemoryTokens: 100_000, Step: time.Millisecond, ReadRate: 100_000, ChunkTokens: 2048, StepsPerPass: 40,
+			}},
+		},
+		Limits:    matcher.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20},
+		Customers: []matcher.Customer{{Name: "crew", Keys: []string{"secret"}}},
+	}
+}
+
+// newFixture starts a server before the targets; without rules if they are nil.
+func newFixture(t *testing.T, service namer.Service, logged io.Writer, targets ...http.HandlerFunc) fixture {
+	t.Helper()
+	store := keeper.New()
+	store.Put("rules", "main", rules())
+	for i, h := range targets {
+		target := httptest.NewServer(h)
+		t.Cleanup(target.Close)
+		id := fmt.Sprint("target-", i)
+		store.Put("targets", id, cataloguer.Target{
+			ID:      namer.Target(id),
+			Service: service,
+			Address: strings.TrimPrefix(target.URL, "http://"),
+			Slots:   16,
+		})
+	}
+	f := startServer(t, store, logged)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		view := f.server.options.Control.View()
+		if view.Rules != nil && len(view.Catalogue.Targets) == len(targets) {
+			return f
+		}
+	}
+	t.Fatal("the rules and targets did not arrive")
+	return f
+}
+
+func startServer(t *testing.T, store *keeper.Keeper, logged io.Writer) fixture {
+	t.Helper()
+	callers := listen(t)
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: logged}}
+	control := coordinator.New(coordinator.Options{
+		Self:    coordinator.Member{Name: "entry", Instance: "entry", Callers: callers.Addr().String()},
+		Peers:   listen(t),
+		Traffic: &messenger.Traffic{},
+		Store:   storer.NewClient(store, storer.DefaultClientSettings(1000), timer.System{}, rand.New(rand.NewPCG(1, 1))),
+		Format: coordinator.Format{
+			Rules: "rules", RulesName: "main", Targets: "targets", Evacuations: "evacuations", Leaders: "leaders",
+			DecodeRules: func(value json.RawMessage) (matcher.Rules, error) {
+				var r matcher.Rules
+				return r, json.Unmarshal(value, &r)
+			},
+			DecodeTarget: func(_ string, value json.RawMessage, _ time.Time) (cataloguer.Target, error) {
+				var target cataloguer.Target
+				return target, json.Unmarshal(value, &target)
+			},
+		},
+		Clock:     timer.System{},
+		Log:       logger,
+		WatchWait: time.Second,
+		Scheduler: scheduler.DefaultSettings(),
+		Balancer:  balancer.DefaultSettings(),
+		Convener:  convener.DefaultSettings(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go control.Run(ctx)
+	server := New(Options{
+		Listener: callers,
+		Control:  control,
+		Names:    names,
+		Budget:   retrier.NewBudget(retrier.DefaultSettings()),
+		Clock:    timer.System{},
+		Log:      logger,
+		Metrics:  NewMetrics(prometheus.NewRegistry()),
+	})
+	go func() { _ = server.Run() }()
+	return fixture{
+		url:    "http://" + callers.Addr().String(),
+		server: server,
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+type response struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request with the key and reads the whole answer.
+func (f fixture) ask(ctx context.Context, method, path string, change ...func(*http.Request)) response {
+	request, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader("body"))
+	if err != nil {
+		return response{err: err}
+	}
+	request.Host = "host"
+	request.Header.Set(names.Key, "secret")
+	request.Header.Set(names.RequestID, "request-1")
+	request.Header.Set(names.Remaining, "2500")
+	request.Header.Set(names.Tokens, "1000,100")
+	for _, c := range change {
+		c(request)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return response{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return response{
+		status: answer.StatusCode,
+		header: answer.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+func assertStatus(t *testing.T, got response, want int) {
+	t.Helper()
+	if got.err != nil || got.status != want {
+		t.Fatalf("got status %d, body %q, error %v; want %d", got.status, got.body, got.err, want)
+	}
+}
+
+// answer makes a target give a good answer with a receipt.
+func answer(w http.ResponseWriter, r *http.Request, body string) {
+	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	w.Header().Set(names.Receipt, "receipt")
+	_, _ = io.WriteString(w, body)
+}
+
+// cut closes the connection without the rest of the answer.
+func cut(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/receiver/metrics.go
+++ b/internal/receiver/metrics.go
@@ -10,6 +10,8 @@
 type Metrics struct {
 	refusals *prometheus.CounterVec
 	requests *prometheus.HistogramVec
+	retries  *prometheus.CounterVec
+	first    prometheus.Histogram
 }
 
 // latencyBuckets cover the target latencies and the deadlines, in seconds.
@@ -24,18 +26,36 @@
 		}, []string{"reason"}),
 		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "bergamothollow_gateway_request_seconds",
-			Help:    "Time to the end of the answer, by kind of route.",
+			Help:    "Time to the end of the request, by kind of route and outcome (served or the reason why not).",
 			Buckets: latencyBuckets,
-		}, []string{"kind"}),
+		}, []string{"kind", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamothollow_gateway_retries_total",
+			Help: "Further sends of a request, by what became of the one before.",
+		}, []string{"reason"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "bergamothollow_gateway_first_event_seconds",
+			Help:    "Time to the first event of a stream.",
+			Buckets: latencyBuckets,
+		}),
 	}
-	registry.MustRegister(m.refusals, m.requests)
+	registry.MustRegister(m.refusals, m.requests, m.retries, m.first)
 	return m
 }
 
-func (m *Metrics) refused(why reason) {
+// unserved counts a request that the system itself ended; r has no route if the rules know none for it.
+func (m *Metrics) unserved(r *request, why reason, took time.Duration) {
 	m.refusals.WithLabelValues(string(why)).Inc()
+	if r.match.Route != nil {
+		m.requests.WithLabelValues(r.match.Route.Kind.String(), string(why)).Observe(took.Seconds())
+	}
 }
 
 func (m *Metrics) served(r *request, took time.Duration) {
-	m.requests.WithLabelValues(r.match.Route.Kind.String()).Observe(took.Seconds())
+	m.requests.WithLabelValues(r.match.Route.Kind.String(), "served").Observe(took.Seconds())
+}
+
+// retried counts a further send after an attempt that came to v.
+func (m *Metrics) retried(v verdict) {
+	m.retries.WithLabelValues(v.String()).Inc()
 }
--- a/internal/receiver/refusal.go
+++ b/internal/receiver/refusal.go
@@ -71,7 +71,6 @@
 }
 
 func (s *Server) answerRefusal(c *app.RequestContext, r *request, f *refusal) {
-	s.options.Metrics.refused(f.reason)
 	body, err := json.Marshal(refusalBody{
 		Error:   f.reason,
 		Message: f.message,
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -251,9 +251,12 @@
 	}
 }
 
+// logRefusal logs and counts a request that the system itself ended.
 func (s *Server) logRefusal(r *request, f *refusal) {
+	took := s.options.Clock.Now().Sub(r.received)
+	s.options.Metrics.unserved(r, f.reason, took)
 	line := s.options.Log.Info().Str("request", string(r.id)).Str("reason", string(f.reason)).Int("status", f.status).
-		Str("cause", f.message).Dur("retry_after", f.retryAfter).Dur("took", s.options.Clock.Now().Sub(r.received)).
+		Str("cause", f.message).Dur("retry_after", f.retryAfter).Dur("took", took).
 		Int("sends", r.sends)
 	if r.view != nil && r.view.Rules != nil {
 		line = line.Int64("rules", r.view.Rules.Rules.Version)
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -24,13 +24,17 @@
 		lastEvent: r.lastEvent,
 	}
 	var excluded []namer.Target
+	previous := verdictAnswer
 	for attempt := range maxPlacements {
 		placement, f := t.place(ctx, excluded, attempt > 0)
 		if f != nil {
 			return f
 		}
+		if attempt > 0 {
+			s.options.Metrics.retried(previous)
+		}
 		result, err := t.attempt(ctx, placement)
-		t.last = err
+		t.last, previous = err, result
 		if result == verdictAnswer {
 			t.logServed(placement)
 			return nil
@@ -233,6 +237,7 @@
 
 func (t *transfer) logServed(p scheduler.Placement) {
 	s, r := t.server, t.request
+	s.options.Metrics.first.Observe(t.first.Seconds())
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("sends", r.sends).
 		Dur("waited", p.Waited).Dur("predicted", p.Waited+p.FirstEvent).Dur("first_event", t.first).
 		Dur("longest_pause", t.pause).Dur("took", s.options.Clock.Now().Sub(r.received)).Msg("receiver: served")
--- /dev/null
+++ b/pkg/scheduler/scheduler_test.go
@@ -0,0 +1,345 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/matcher"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+var start = time.Unix(1_000, 0)
+
+// The published speed of the users' engines.
+var speed = matcher.Engine{
+	MemoryTokens:          232_000,
+	Step:                  1020 * time.Microsecond,
+	StepPerWriter:         2260 * time.Nanosecond,
+	StepPerThousandTokens: 4310 * time.Nanosecond,
+	ReadRate:              206_000,
+	ReadPerMillionPairs:   138 * time.Microsecond,
+	ChunkTokens:           2048,
+	StepsPerPass:          43,
+	UsualAnswer:           1300,
+}
+
+func newFixture(engines int) *Scheduler {
+	s := New(DefaultSettings())
+	s.SetEngines(fleet(engines))
+	return s
+}
+
+func fleet(engines int) []Engine {
+	var list []Engine
+	for i := range engines {
+		list = append(list, Engine{
+			ID:      namer.Target(fmt.Sprintf("engine-%02d", i)),
+			Service: "scribe",
+			Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Slots:   16,
+			Speed:   speed,
+		})
+	}
+	return list
+}
+
+func statement(id string, now time.Time) Request {
+	return Request{
+		ID:       namer.Request(id),
+		Service:  "scribe",
+		Prompt:   5_000,
+		Output:   1_300,
+		Arrived:  now,
+		Latency:  300 * time.Millisecond,
+		Pause:    250 * time.Millisecond,
+		Deadline: now.Add(10 * time.Second),
+	}
+}
+
+func review(id string, now time.Time, prompt int) Request {
+	return Request{
+		ID:       namer.Request(id),
+		Service:  "scribe",
+		Prompt:   prompt,
+		Output:   680,
+		Arrived:  now,
+		Latency:  3 * time.Second,
+		Pause:    time.Second,
+		Deadline: now.Add(15 * time.Second),
+	}
+}
+
+func mustPlace(t *testing.T, s *Scheduler, now time.Time, r Request) Placement {
+	t.Helper()
+	s.Submit(r)
+	for _, d := range s.Decide(now) {
+		if p, ok := d.(Place); ok && p.Request == r.ID {
+			return p.Placement
+		}
+	}
+	t.Fatalf("%s was not placed", r.ID)
+	return Placement{}
+}
+
+func mustRefuse(t *testing.T, s *Scheduler, now time.Time, id namer.Request) Refuse {
+	t.Helper()
+	for _, d := range s.Decide(now) {
+		if r, ok := d.(Refuse); ok && r.Request == id {
+			return r
+		}
+	}
+	t.Fatalf("%s was not refused", id)
+	return Refuse{}
+}
+
+// Guards against one instance's requests gathering on one engine. Pattern: many short statements at once (burst).
+func TestStatementsSpread(t *testing.T) {
+	s := newFixture(4)
+	used := map[namer.Target]int{}
+	for i := range 40 {
+		p := mustPlace(t, s, start, statement(fmt.Sprint(i), start))
+		used[p.Engine]++
+	}
+	for id, n := range used {
+		if n > 16 {
+			t.Errorf("%s has %d requests, more than its slots", id, n)
+		}
+	}
+	if len(used) < 3 {
+		t.Errorf("40 requests went to %d engines", len(used))
+	}
+}
+
+// Guards against passes that read so much that streams on the engine pause for too long. Pattern: reviews arrive while
+// short statements are being written on every engine (the burst of reviews on quiet days).
+func TestPassesLeavePausesShort(t *testing.T) {
+	s := newFixture(14)
+	for i := range 28 {
+		id := fmt.Sprint("statement-", i)
+		mustPlace(t, s, start, statement(id, start))
+	}
+	now := start.Add(time.Second)
+	for i := range 28 {
+		s.Started(now, namer.Request(fmt.Sprint("statement-", i)))
+	}
+	for _, r := range s.running {
+		r.spoiled = false
+	}
+	for i := range 3 {
+		s.Submit(review(fmt.Sprint("review-", i), now, 133_000))
+	}
+	s.Decide(now)
+	for _, e := range s.order {
+		bound, shared := e.tolerance()
+		if pass := total(e.waiting) + e.writing(); shared && pass > bound {
+			t.Errorf("the next pass of %s takes %s, its streams tolerate %s", e.ID, pass, bound)
+		}
+	}
+}
+
+// Guards against prompts that no engine can hold being refused or waiting for ever. Pattern: the largest tenth of the
+// reviews on quiet days.
+func TestLongestPromptsAreShared(t *testing.T) {
+	for _, prompt := range []int{240_000, 600_000} {
+		t.Run(fmt.Sprint(prompt), func(t *testing.T) {
+			s := newFixture(16)
+			r := review("long", start, prompt)
+			p := mustPlace(t, s, start, r)
+			reserved := 0
+			for _, h := range p.Helpers {
+				reserved += h.Tokens
+				if h.Tokens > speed.MemoryTokens {
+					t.Errorf("%d tokens are reserved on one engine", h.Tokens)
+				}
+			}
+			if left := r.planned() - reserved; left > speed.MemoryTokens {
+				t.Errorf("%d tokens are left to the first engine", left)
+			}
+			s.Ended(start, "long", Finished, "")
+			assertIdle(t, s)
+		})
+	}
+}
+
+// Guards against prompts whose reading grows with the square of their length starving all others. Pattern: reviews of 2.8
+// times the usual rate (scale days).
+func TestHeavyPromptsWaitForCalm(t *testing.T) {
+	s := newFixture(14)
+	now := start
+	reviews := 0
+	press := func(steps int) []Decision {
+		var decisions []Decision
+		for range steps {
+			s.Submit(review(fmt.Sprint(reviews), now, 133_000))
+			decisions = append(decisions, s.Decide(now)...)
+			s.Started(now, namer.Request(fmt.Sprint(reviews-4)))
+			s.Ended(now, namer.Request(fmt.Sprint(reviews-10)), Finished, "")
+			reviews++
+			now = now.Add(130 * time.Millisecond)
+		}
+		return decisions
+	}
+	press(40)
+	heavy := review("heavy", now, 500_000)
+	s.Submit(heavy)
+	for _, d := range press(6) {
+		switch d := d.(type) {
+		case Place:
+			if d.Request == "heavy" {
+				t.Fatal("a prompt of 500,000 tokens was started under pressure")
+			}
+		case Refuse:
+			if d.Request != "heavy" {
+				continue
+			}
+			if d.RetryAfter <= 0 || d.RetryAfter > heavy.Deadline.Sub(heavy.Arrived)/3 {
+				t.Errorf("retry after %s", d.RetryAfter)
+			}
+			if d.Waited > heavy.Latency/4 {
+				t.Errorf("refused only after %s", d.Waited)
+			}
+			heavy.ID = "later"
+		}
+	}
+	if heavy.ID != "later" {
+		t.Fatal("the heavy prompt was not refused")
+	}
+	now = now.Add(20 * time.Second)
+	for i := range reviews {
+		s.Ended(now, namer.Request(fmt.Sprint(i)), Finished, "")
+		s.Withdraw(namer.Request(fmt.Sprint(i)))
+	}
+	mustPlace(t, s, now, review("later", now, 500_000))
+}
+
+// Guards against requests that wait although nothing can serve them.
+func TestNoEngineRefusesAtOnce(t *testing.T) {
+	s := newFixture(0)
+	s.Submit(statement("one", start))
+	if r := mustRefuse(t, s, start, "one"); r.Reason != NoEngine || r.RetryAfter <= 0 {
+		t.Errorf("got %+v", r)
+	}
+}
+
+// Guards against an engine that fails being chosen again at once. Pattern: engines that crash or fail a part of their
+// requests (srv_crash, srv_grey).
+func TestFailedEngineIsAvoided(t *testing.T) {
+	s := newFixture(2)
+	p := mustPlace(t, s, start, statement("one", start))
+	s.Ended(start, "one", Failed, "")
+	for i := range 5 {
+		id := fmt.Sprint("next-", i)
+		if next := mustPlace(t, s, start, statement(id, start)); next.Engine == p.Engine {
+			t.Errorf("%s went to the engine that failed", id)
+		}
+	}
+	later := start.Add(time.Minute)
+	s.Ended(later, "next-0", Finished, "")
+	if load := s.Load(later); load.Avoided != 0 {
+		t.Errorf("%d engines are still avoided", load.Avoided)
+	}
+}
+
+// Guards against a cold engine getting more than it bears. Pattern: a burst meets engines that came back cold.
+func TestColdEngineBound(t *testing.T) {
+	s := New(DefaultSettings())
+	list := fleet(1)
+	list[0].ColdUntil = start.Add(time.Hour)
+	list[0].ColdRate = 5
+	s.SetEngines(list)
+	placed := 0
+	for i := range 12 {
+		s.Submit(statement(fmt.Sprint(i), start))
+	}
+	for _, d := range s.Decide(start) {
+		if _, ok := d.(Place); ok {
+			placed++
+		}
+	}
+	if placed > 5 {
+		t.Errorf("%d requests in one second, 5 are borne", placed)
+	}
+}
+
+// Guards against slots, memory, pieces and writers that are never given back: an engine would look full for ever.
+// Pattern: requests that end in any order, are withdrawn, adopted, or lose their engine.
+func TestEverythingIsGivenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newFixture(rapid.IntRange(1, 6).Draw(t, "engines"))
+		now := start
+		open := map[namer.Request]bool{}
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			id := namer.Request(fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "id")))
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				if open[id] {
+					continue
+				}
+				id = namer.Request(fmt.Sprint(id, "-", i))
+				open[id] = true
+				s.Submit(review(string(id), now, rapid.IntRange(100, 300_000).Draw(t, "prompt")))
+			case 2:
+				for one := range s.running {
+					s.Started(now, one)
+				}
+			case 3:
+				for one := range s.running {
+					s.Ended(now, one, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), "")
+					delete(open, one)
+				}
+			case 4:
+				s.Withdraw(id)
+			case 5:
+				s.SetEngines(fleet(rapid.IntRange(1, 6).Draw(t, "fleet")))
+			}
+			s.Decide(now)
+		}
+		for id := range open {
+			s.Withdraw(id)
+		}
+		for id := range s.running {
+			s.Ended(now, id, Finished, "")
+		}
+		assertIdle(t, s)
+	})
+}
+
+type failer interface {
+	Helper()
+	Errorf(format string, arguments ...any)
+}
+
+func assertIdle(t failer, s *Scheduler) {
+	t.Helper()
+	for _, e := range s.order {
+		if e.memory != 0 || e.writers != 0 || e.context != 0 || e.helping != 0 || len(e.runs) != 0 || len(e.waiting) != 0 {
+			t.Errorf("%s holds memory %d, writers %d, context %d, helping %d, runs %d, waiting %d", e.ID, e.memory,
+				e.writers, e.context, e.helping, len(e.runs), len(e.waiting))
+		}
+	}
+	if len(s.running) != 0 {
+		t.Errorf("%d requests still run", len(s.running))
+	}
+}
+
+// BenchmarkDecide measures one decision at the size of the grown deployments and beyond.
+func BenchmarkDecide(b *testing.B) {
+	for _, engines := range []int{14, 78, 600} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			s := newFixture(engines)
+			now := start
+			for i := range b.N {
+				now = now.Add(5 * time.Millisecond)
+				id := namer.Request(fmt.Sprint(i))
+				s.Submit(statement(string(id), now))
+				s.Decide(now)
+				s.Started(now, id)
+				s.Ended(now, id, Finished, "")
+			}
+		})
+	}
+}
