--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -96,6 +96,11 @@
 	// unfed are changes that a leader has yet to send on, fedAt is when it last did.
 	unfed []storer.Event
 	fedAt time.Time
+	// whole describes all objects to a follower; it is nil if they have changed since.
+	whole json.RawMessage
+	// toldAt is when the members were last sent; untold is set if they may have changed since.
+	toldAt time.Time
+	untold bool
 	// fed is set once the leader has described the store; leaderLostStore while the leader cannot ask it.
 	fed             bool
 	leaderLostStore bool
@@ -402,6 +407,7 @@
 	}
 	c.act(ctx, c.convener.Tick(now))
 	c.findSilent(now)
+	c.tellMembers(now)
 	c.followStore(ctx, now)
 	c.feed(now)
 	c.logLoad(now)
@@ -436,7 +442,7 @@
 		Leaving:   c.leaving,
 	}
 	c.view.Store(view)
-	c.tellMembers(view.Members)
+	c.untold = true
 	if c.rules == nil {
 		return
 	}
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -35,8 +35,8 @@
 // followStore starts or stops the watches, according to this instance's role and place in line.
 func (c *Coordinator) followStore(ctx context.Context, now time.Time) {
 	following := c.convener.Role() == convener.Following
-	if following && c.rank >= readers && !c.leaderLostStore {
-		if c.stopWatching != nil && c.fed {
+	if following && c.rank >= readers && c.fed && !c.leaderLostStore {
+		if c.stopWatching != nil {
 			c.stopWatching()
 			c.stopWatching = nil
 			clear(c.lost)
@@ -101,6 +101,7 @@
 	if exists && known.Version > e.Object.Version || exists && known.Version == e.Object.Version && e.Type == storer.EventPut {
 		return false
 	}
+	c.whole = nil
 	if e.Type == storer.EventDelete {
 		delete(objects, e.Object.Name)
 		return exists
@@ -109,36 +110,48 @@
 	return true
 }
 
-// feed sends gathered changes to the followers that do not watch the store.
+// feed sends gathered changes to the followers that do not watch the store, and everything to those that are new among
+// them.
 func (c *Coordinator) feed(now time.Time) {
-	if len(c.unfed) == 0 || now.Sub(c.fedAt) < feedInterval {
+	if c.convener.Role() != convener.Leading {
+		c.unfed = nil
 		return
 	}
-	events := c.unfed
-	c.unfed = nil
-	c.fedAt = now
-	if c.convener.Role() != convener.Leading {
+	if now.Sub(c.fedAt) < feedInterval {
 		return
 	}
-	var message *objectsMessage
-	for i, p := range c.told.Line {
-		if i < readers {
-			continue
-		}
-		for l := range c.followers {
-			if l.member.Name != p.Name {
-				continue
-			}
-			if message == nil {
-				message = c.pack(events, false)
+	c.fedAt = now
+	events := c.unfed
+	c.unfed = nil
+	var changes json.RawMessage
+	for l := range c.followers {
+		switch {
+		case l.place < readers:
+			// It watches the store itself; should it lose its place, it needs everything.
+			l.fed = false
+		case !l.fed:
+			c.feedAll(l)
+		case len(events) > 0:
+			if changes == nil {
+				changes = c.pack(events, false)
 			}
-			l.notify(methodObjects, message)
+			l.notify(methodObjects, changes)
 		}
 	}
 }
 
-// feedAll sends all objects to a follower.
+// feedAll sends all objects to a follower. Many join at the same moment, so that the message is kept until the objects change.
 func (c *Coordinator) feedAll(l *link) {
+	if c.whole == nil {
+		c.whole = c.packAll()
+	}
+	if c.whole != nil {
+		l.fed = true
+		l.notify(methodObjects, c.whole)
+	}
+}
+
+func (c *Coordinator) packAll() json.RawMessage {
 	var events []storer.Event
 	for _, kind := range c.kinds() {
 		for _, o := range c.objects[kind] {
@@ -148,25 +161,31 @@
 			})
 		}
 	}
-	if len(events) > 0 {
-		l.notify(methodObjects, c.pack(events, true))
+	if len(events) == 0 {
+		return nil
 	}
+	return c.pack(events, true)
 }
 
-func (c *Coordinator) pack(events []storer.Event, whole bool) *objectsMessage {
+// pack encodes a message once for all its receivers.
+func (c *Coordinator) pack(events []storer.Event, whole bool) json.RawMessage {
 	var packed bytes.Buffer
 	w := gzip.NewWriter(&packed)
 	err := json.NewEncoder(w).Encode(events)
 	if err == nil {
 		err = w.Close()
 	}
+	var message json.RawMessage
+	if err == nil {
+		message, err = json.Marshal(objectsMessage{
+			Whole:  whole,
+			Events: packed.Bytes(),
+		})
+	}
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("coordinator: objects not packed")
 	}
-	return &objectsMessage{
-		Whole:  whole,
-		Events: packed.Bytes(),
-	}
+	return message
 }
 
 // takeObjects applies what the leader knows of the store.
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -31,7 +31,10 @@
 	// member describes a follower; it is empty before the peer has joined and for a leader.
 	member Member
 	ready  bool
-	seen   time.Time
+	// place is the follower's in line; fed is set once it has been sent all objects.
+	place int
+	fed   bool
+	seen  time.Time
 }
 
 // inbound is a message of a peer for the control goroutine.
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -270,10 +270,12 @@
 		m.link.seen = now
 		c.followers[m.link] = struct{}{}
 		c.stale = true
+		// The newcomer has been told nothing, also if the list is the same as before.
+		c.told = membersMessage{}
 		c.options.Log.Info().Str("member", request.Member.Name).Msg("coordinator: follower joined")
 	}
 	m.answer(answer)
-	if answer.Accepted && (len(c.followers) >= readers || !request.Known) {
+	if answer.Accepted && !request.Known {
 		c.feedAll(m.link)
 	}
 }
@@ -426,23 +428,33 @@
 	return list
 }
 
+// membersInterval gathers changes of the members: when a deployment starts, each of many instances joins by itself.
+const membersInterval = 150 * time.Millisecond
+
 // tellMembers sends the list to all followers if it has changed.
-func (c *Coordinator) tellMembers(list []Member) {
-	if c.convener.Role() != convener.Leading {
+func (c *Coordinator) tellMembers(now time.Time) {
+	if c.convener.Role() != convener.Leading || !c.untold || now.Sub(c.toldAt) < membersInterval {
 		return
 	}
-	line := c.line()
+	c.untold = false
+	c.toldAt = now
 	message := membersMessage{
-		Members: list,
-		Line:    line,
+		Members: c.View().Members,
+		Line:    c.line(),
 	}
-	if slices.Equal(list, c.told.Members) && slices.Equal(line, c.told.Line) {
+	if slices.Equal(message.Members, c.told.Members) && slices.Equal(message.Line, c.told.Line) {
 		return
 	}
 	c.told = message
 	c.rank = 0
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("coordinator: members not encoded")
+		return
+	}
 	for l := range c.followers {
-		l.notify(methodMembers, message)
+		l.notify(methodMembers, json.RawMessage(encoded))
+		l.place = slices.IndexFunc(message.Line, func(p convener.Peer) bool { return p.Name == l.member.Name })
 	}
 }
 
