--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,10 +107,11 @@
 	// stopWatching is nil while the store is not watched; watchWait is how long one watch waits.
 	stopWatching context.CancelFunc
 	watchWait    time.Duration
-	aloneSince   time.Time
-	lost         map[storer.Kind]bool
-	leaving      bool
-	stale        bool
+	// aloneSince is when the leader was lost; it is zero at the start, so that the store is asked at once.
+	aloneSince time.Time
+	lost       map[storer.Kind]bool
+	leaving    bool
+	stale      bool
 }
 
 // messageBuffer lets traffic hand over messages without waiting for the control goroutine.
@@ -168,7 +169,6 @@
 // Run follows the store and serves messages until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	go c.accept(ctx)
-	c.aloneSince = c.options.Clock.Now()
 	upkeep := c.options.Clock.After(upkeepInterval)
 	var decide <-chan time.Time
 	for {
