--- a/internal/receiver/refusal.go
+++ b/internal/receiver/refusal.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
 )
 
 // reason is why the system itself ended a request.
@@ -38,6 +40,8 @@
 	reason     reason
 	message    string
 	retryAfter time.Duration
+	// figures are what the scheduler decided by; nil if it did not refuse.
+	figures *scheduler.Refuse
 	// close ends the caller's connection after the answer.
 	close bool
 }
@@ -57,6 +61,14 @@
 	}
 }
 
+// callerGone ends a request whose caller has closed the connection: nothing is answered.
+func callerGone(cause string) *refusal {
+	return &refusal{
+		reason:  reasonCallerGone,
+		message: cause,
+	}
+}
+
 // failed is an answer that promises nothing.
 func failed(why reason, message string) *refusal {
 	status := http.StatusBadGateway
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -152,7 +152,10 @@
 		w.finish()
 		s.options.Metrics.served(r, took)
 		return
-	case w.begun || errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled):
+		w.abort()
+		f = callerGone(f.message)
+	case w.begun:
 		w.abort()
 	default:
 		s.answerRefusal(w.context, r, f)
@@ -264,5 +267,9 @@
 	if r.match.Route != nil {
 		line = line.Str("route", r.match.Route.Name)
 	}
+	if f.figures != nil {
+		line = line.Int("queued", f.figures.Queued).Int("engines", f.figures.Engines).
+			Float64("pressure", f.figures.Pressure)
+	}
 	line.Msg("receiver: not served")
 }
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -76,6 +76,31 @@
 	t.previous = now
 }
 
+const (
+	// firstPatience is added to the predicted time to the first event of a stream that another engine can serve. A shorter one
+	// gave up on engines that were only busy, and asked others to read the prompt again.
+	firstPatience = 4 * time.Second
+	// pausePatience is how many times its longest pause a stream may be silent before it goes on at another engine; callers
+	// give up at eight times, and not before 2 s.
+	pausePatience    = 5
+	minPausePatience = 1600 * time.Millisecond
+)
+
+// replaceable reports whether the stream could still go on at another engine.
+func (t *transfer) replaceable() bool {
+	r := t.request
+	return r.match.Route.Repeatable() && r.sends+1 < r.match.Route.MaxAttempts
+}
+
+// silence is how long the stream may pause before it goes on at another engine; 0 means until the deadline.
+func (t *transfer) silence() time.Duration {
+	pause := t.request.match.Route.LongestPause
+	if pause == 0 || t.request.sends >= t.request.match.Route.MaxAttempts {
+		return 0
+	}
+	return max(minPausePatience, pausePatience*pause)
+}
+
 // errCaller means that the caller no longer reads.
 var errCaller = errors.New("the caller does not read")
 
@@ -109,7 +134,9 @@
 		if r.sends > 0 {
 			return scheduler.Placement{}, t.server.ending(ctx, r, t.last)
 		}
-		return scheduler.Placement{}, unserved(reason(d.Reason), refusedMessage(d), d.RetryAfter)
+		f := unserved(reason(d.Reason), refusedMessage(d), d.RetryAfter)
+		f.figures = &d
+		return scheduler.Placement{}, f
 	}
 	return scheduler.Placement{}, t.server.ending(ctx, r, nil)
 }
@@ -128,6 +155,9 @@
 		address: p.Address,
 		helpers: s.helpers(p, reserved),
 	}
+	if t.replaceable() {
+		d.patience = firstPatience + p.FirstEvent
+	}
 	s.logPlacement(r, p)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -227,6 +257,7 @@
 			return verdictUnknown, errors.Join(errCaller, err)
 		}
 		t.note(t.server.options.Clock.Now())
+		answer.ExpectWithin(t.silence())
 		if event.ID != "" {
 			t.lastEvent = event.ID
 		}
@@ -246,5 +277,5 @@
 func (s *Server) logPlacement(r *request, p scheduler.Placement) {
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("helpers", len(p.Helpers)).
 		Int("prompt", r.prompt).Int("output", r.output).Dur("waited", p.Waited).Dur("backlog", p.Backlog).
-		Dur("predicted", p.FirstEvent).Msg("receiver: placed")
+		Dur("predicted", p.FirstEvent).Int64("rules", r.view.Rules.Rules.Version).Msg("receiver: placed")
 }
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -150,6 +150,9 @@
 	Waited     time.Duration
 	// Queued is the number of requests that wait.
 	Queued int
+	// Engines is the number of engines of the service, and Pressure the reading asked of them, as a share of what they can do.
+	Engines  int
+	Pressure float64
 }
 
 func (Place) decision()  {}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -330,10 +330,11 @@
 			RetryAfter: after,
 			Waited:     waited,
 			Queued:     len(s.queue),
+			Engines:    len(s.order),
+			Pressure:   s.pressure,
 		}
 	}
-	any := s.speed(r)
-	if any == nil {
+	if s.speed(r) == nil {
 		return refuse(NoEngine, noEngineRetry)
 	}
 	if !now.Before(r.Deadline) {
