--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -26,7 +26,6 @@
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
-	"bergamothollow.example/bergamothollow/pkg/retrier"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/platform"
@@ -247,10 +246,10 @@
 		Control:  i.control,
 		Names:    platform.Headers(),
 		Orders:   platform.Orders(),
-		Budget: retrier.NewBudget(retrier.Settings{
-			BudgetShare:   g.RetryRatio * budgetCaution,
-			BudgetWindow:  g.RetryWindow,
-			BudgetMinimum: g.RetryExtra / assumedInstances,
+		Budget: receiver.NewBudget(receiver.BudgetSettings{
+			Ratio:  g.RetryRatio,
+			Window: g.RetryWindow,
+			Extra:  g.RetryExtra,
 		}),
 		Clock:   i.options.Factory.Clock,
 		Log:     i.logger,
@@ -276,10 +275,3 @@
 
 // leaderShare is the share of a core that makes an instance a good leader: leading 85 took 0.16 of one.
 const leaderShare = 0.3
-
-const (
-	// budgetCaution keeps a part of the shared retry budget free, since instances count windows that differ.
-	budgetCaution = 0.75
-	// assumedInstances divides the retries that are allowed beside the ratio until the members are counted.
-	assumedInstances = 16
-)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -61,7 +61,9 @@
 	Catalogue *cataloguer.Catalogue
 	// Members are the instances that callers may use.
 	Members []Member
-	Leaving bool
+	// Instances is the number of instances known to have served, also while this one reaches none of them.
+	Instances int
+	Leaving   bool
 }
 
 // Coordinator runs the control goroutine.
@@ -441,6 +443,7 @@
 		Members:   c.listMembers(),
 		Leaving:   c.leaving,
 	}
+	view.Instances = max(len(view.Members), len(c.members))
 	c.view.Store(view)
 	c.untold = true
 	if c.rules == nil {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -22,7 +22,7 @@
 	// aloneTime is how long an instance that is not fed waits for a leader before it watches the store itself.
 	aloneTime = 700 * time.Millisecond
 	// feederWait is how long the watches of a leader wait that feeds others: its loss of the store is theirs.
-	feederWait = time.Second
+	feederWait = 600 * time.Millisecond
 	// maxFeedBytes bounds what a leader may send; the largest rules are below the store's limit of 1 MB.
 	maxFeedBytes = 64 << 20
 )
@@ -77,7 +77,8 @@
 	c.leaderLostStore = lost
 	if c.stopWatching == nil {
 		c.catalogue.SetStore(now, !lost)
-		c.aloneSince = now
+		// It has taken up to a second and a half to notice; the store is asked at once.
+		c.aloneSince = time.Time{}
 	}
 	c.options.Log.Info().Bool("lost", lost).Msg("coordinator: store of the leader")
 }
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -129,7 +129,12 @@
 
 // mayRepeat reports whether a request that may have run can be sent once more.
 func (s *Server) mayRepeat(r *request) bool {
-	return r.match.Route.Repeatable() && r.sends < r.match.Route.MaxAttempts && s.options.Budget.Spend(s.options.Clock.Now())
+	return r.match.Route.Repeatable() && r.sends < r.match.Route.MaxAttempts && s.spend()
+}
+
+// spend takes a further send from this instance's part of the budget.
+func (s *Server) spend() bool {
+	return s.options.Budget.Spend(s.options.Clock.Now(), s.options.Control.View().Instances)
 }
 
 // expired reports whether a request's time is over.
--- /dev/null
+++ b/internal/receiver/budget_test.go
@@ -0,0 +1,57 @@
+package receiver
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against more retries than the targets bear, summed over instances that each count for themselves. Pattern: a
+// burst of rejections at 83 instances (grown deployments; each had a fixed sixteenth of the extra retries).
+func TestBudgetOverAllInstances(t *testing.T) {
+	for _, instances := range []int{1, 8, 83, 300} {
+		now := time.Unix(1_000, 0)
+		const extra, requests = 240, 1000
+		spent := 0
+		for i := range instances {
+			b := NewBudget(BudgetSettings{
+				Ratio:  0.2,
+				Window: 10 * time.Second,
+				Extra:  extra,
+			})
+			for range requests / instances {
+				b.Request(now)
+			}
+			for b.Spend(now, instances) && spent < 10*requests {
+				spent++
+			}
+			_ = i
+		}
+		if allowed := requests/5 + extra; spent > allowed {
+			t.Errorf("%d instances spent %d of %d", instances, spent, allowed)
+		}
+		if spent == 0 && instances < 100 {
+			t.Errorf("%d instances may never retry", instances)
+		}
+	}
+}
+
+// Guards against a budget that requests of several callers corrupt; run with -race.
+func TestBudgetFromManyGoroutines(t *testing.T) {
+	b := NewBudget(BudgetSettings{
+		Ratio:  0.2,
+		Window: time.Second,
+		Extra:  100,
+	})
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for i := range 1000 {
+				now := time.Unix(1_000, int64(i)*1_000_000)
+				b.Request(now)
+				b.Spend(now, 8)
+			}
+		})
+	}
+	all.Wait()
+}
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -64,7 +64,7 @@
 		if ctx.Err() != nil || result == verdictUnknown && !s.mayRepeat(r) {
 			break
 		}
-		if result == verdictNotRun && !s.options.Budget.Spend(s.options.Clock.Now()) {
+		if result == verdictNotRun && !s.spend() {
 			break
 		}
 		excluded = append(excluded, d.id)
--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -25,7 +25,6 @@
 	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
-	"bergamothollow.example/bergamothollow/pkg/retrier"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
@@ -63,6 +62,7 @@
 			Kind:          kind,
 			Timeout:       3 * time.Second,
 			TargetLatency: 2 * time.Second,
+			LongestPause:  50 * time.Millisecond,
 			MaxAttempts:   2,
 			Resumable:     kind == matcher.Streaming,
 			Split:         []matcher.Share{{Service: service, Weight: 1}},
@@ -148,7 +148,7 @@
 		Listener: callers,
 		Control:  control,
 		Names:    names,
-		Budget:   retrier.NewBudget(retrier.DefaultSettings()),
+		Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Window: 10 * time.Second, Extra: 50}),
 		Clock:    timer.System{},
 		Log:      logger,
 		Metrics:  NewMetrics(prometheus.NewRegistry()),
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -310,3 +310,26 @@
 		t.Error("no time to come back")
 	}
 }
+
+// Guards against streams that wait for their callers' deadline on a connection that has gone silent without being closed.
+// Pattern: connections are silenced while their engine serves others (reset_conns; incident inc-1f62).
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	var first atomic.Bool
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		if !first.CompareAndSwap(false, true) {
+			engine(0)(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		answer(w, r, "id: 1\ndata: 1\n\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}
+	f := newFixture(t, "engine", io.Discard, silent, silent)
+	got := f.ask(context.Background(), "POST", "/stream/x")
+	assertStatus(t, got, http.StatusOK)
+	if got.err != nil || got.body != events() {
+		t.Errorf("got %q, %v", got.body, got.err)
+	}
+}
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -18,7 +18,6 @@
 	"bergamothollow.example/bergamothollow/internal/coordinator"
 	"bergamothollow.example/bergamothollow/internal/forwarder"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
-	"bergamothollow.example/bergamothollow/pkg/retrier"
 	"bergamothollow.example/bergamothollow/pkg/timer"
 )
 
@@ -40,7 +39,7 @@
 	Control  *coordinator.Coordinator
 	Names    forwarder.HeaderNames
 	Orders   Orders
-	Budget   *retrier.Budget
+	Budget   *Budget
 	Clock    timer.Clock
 	Log      *log.Logger
 	Metrics  *Metrics
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -45,7 +45,7 @@
 		if result == verdictUnknown && !s.mayRepeat(r) {
 			break
 		}
-		if result == verdictNotRun && !s.options.Budget.Spend(s.options.Clock.Now()) {
+		if result == verdictNotRun && !s.spend() {
 			break
 		}
 		excluded = append(excluded, placement.Engine)
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -46,6 +46,11 @@
 	}
 }
 
+// SetMinimum replaces the number of retries that are always allowed.
+func (b *Budget) SetMinimum(retries int) {
+	b.settings.BudgetMinimum = retries
+}
+
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
