--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -330,6 +330,10 @@
 // report records whether the store answers, for each watcher.
 func (c *Coordinator) report(now time.Time, m reported) {
 	down := m.err != nil
+	if m.kind == c.options.Format.Targets {
+		// Also after the leader had lost the store: entries that vanish now have not lapsed in an outage.
+		c.catalogue.SetStore(now, !down)
+	}
 	if down == c.lost[m.kind] {
 		return
 	}
@@ -339,9 +343,6 @@
 	} else {
 		c.options.Log.Info().Str("kind", string(m.kind)).Msg("coordinator: store regained")
 	}
-	if m.kind == c.options.Format.Targets {
-		c.catalogue.SetStore(now, !down)
-	}
 }
 
 func (c *Coordinator) change(now time.Time, e storer.Event) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -326,3 +326,21 @@
 		place(t, one, fmt.Sprint("last-", n))
 	}
 }
+
+// Guards against work for targets that have left, at an instance that the leader feeds: while the leader had lost the store,
+// the instance asked the store itself, but took entries that were removed then for lapsed ones. Pattern: the store turns
+// some machines away and targets leave meanwhile (platform_down, nodes leader drain; quetzal grown trouble-1).
+func TestTargetsLeaveWhileTheLeaderHasLostTheStore(t *testing.T) {
+	one := New(startInstance(t, newStore(), 0).options)
+	now := time.Unix(1_000, 0)
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	one.change(now, storer.Event{Type: storer.EventPut, Object: entry})
+	one.takeLeaderStore(now, true)
+	one.report(now, reported{kind: kindTargets})
+	later := now.Add(one.options.Catalogue.Return + time.Second)
+	entry.Version = 4
+	one.change(later, storer.Event{Type: storer.EventDelete, Object: entry})
+	if one.catalogue.Catalogue().Usable("a") {
+		t.Error("a target that has left is still used")
+	}
+}
