--- a/internal/receiver/budget_test.go
+++ b/internal/receiver/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -13,7 +14,7 @@
 		now := time.Unix(1_000, 0)
 		const extra, requests = 240, 1000
 		spent := 0
-		for i := range instances {
+		for range instances {
 			b := NewBudget(BudgetSettings{
 				Ratio:  0.2,
 				Window: 10 * time.Second,
@@ -25,7 +26,6 @@
 			for b.Spend(now, instances) && spent < 10*requests {
 				spent++
 			}
-			_ = i
 		}
 		if allowed := requests/5 + extra; spent > allowed {
 			t.Errorf("%d instances spent %d of %d", instances, spent, allowed)
@@ -43,15 +43,22 @@
 		Window: time.Second,
 		Extra:  100,
 	})
+	const callers, requests = 8, 1000
 	var all sync.WaitGroup
-	for range 8 {
+	var spent atomic.Int64
+	for range callers {
 		all.Go(func() {
-			for i := range 1000 {
-				now := time.Unix(1_000, int64(i)*1_000_000)
+			for i := range requests {
+				now := time.Unix(1_000, int64(i)*100_000)
 				b.Request(now)
-				b.Spend(now, 8)
+				if b.Spend(now, 8) {
+					spent.Add(1)
+				}
 			}
 		})
 	}
 	all.Wait()
+	if allowed := int64(callers*requests/5 + 100); spent.Load() > allowed {
+		t.Errorf("%d retries, %d are allowed", spent.Load(), allowed)
+	}
 }
