--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -224,6 +224,15 @@
 	}
 }
 
+// Guards against a prompt that waits for its deadline although all engines together cannot hold it.
+func TestPromptBeyondAllMemoryIsRefusedAtOnce(t *testing.T) {
+	s := newFixture(2)
+	s.Submit(review("huge", start, 3*speed.MemoryTokens))
+	if r := mustRefuse(t, s, start, "huge"); r.Reason != TooLarge {
+		t.Errorf("got %+v", r)
+	}
+}
+
 // Guards against an engine that fails being chosen again at once. Pattern: engines that crash or fail a part of their
 // requests (srv_crash, srv_grey).
 func TestFailedEngineIsAvoided(t *testing.T) {
