Do not name a leader that could not be reached to callers

Found in the read-through: the list of departed members was never written, so that followers and the next leader went on naming a lost leader for up to 1.2 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,12 +83,14 @@
 	placed  map[namer.Request]*placed
 	owners  map[namer.Request]*link
 	// leader is nil unless this instance follows.
-	leader    *link
-	followers map[*link]struct{}
+	leader     *link
+	leaderName string
+	followers  map[*link]struct{}
 	// members is what the leader has said last; told is what this instance has said as a leader.
-	members      []Member
-	told         membersMessage
-	departed     map[string]bool
+	members []Member
+	told    membersMessage
+	// lostLeader is the leader that could not be reached last: it is no longer named to callers.
+	lostLeader   string
 	inheritUntil time.Time
 	loadLogged   time.Time
 	// rank is this instance's place in the leader's line, -1 if it is not known.
@@ -131,7 +133,6 @@
 		placed:    map[namer.Request]*placed{},
 		owners:    map[namer.Request]*link{},
 		followers: map[*link]struct{}{},
-		departed:  map[string]bool{},
 		objects:   map[storer.Kind]map[string]storer.Object{},
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"bergamothollow.example/bergamothollow/internal/emulator/keeper"
 	"bergamothollow.example/bergamothollow/internal/messenger"
@@ -359,3 +360,28 @@
 		t.Errorf("%d instances after a leader has named 8", got)
 	}
 }
+
+// Guards against callers being sent to a leader that is gone, by those that followed it.
+func TestLostLeaderIsNotNamed(t *testing.T) {
+	one := New(startInstance(t, newStore(), 0).options)
+	one.members = []Member{{Name: "leader"}, {Name: "other"}}
+	one.leaderName = "leader"
+	one.leader = &link{
+		conn: closedConn(t),
+		gone: make(chan struct{}),
+	}
+	one.unfollow()
+	one.publish()
+	if got := one.View().Members; len(got) != 1 || got[0].Name != "other" {
+		t.Errorf("callers are told of %v", got)
+	}
+}
+
+func closedConn(t *testing.T) *jsonrpc2.Conn {
+	t.Helper()
+	a, b := net.Pipe()
+	_ = b.Close()
+	conn := jsonrpc2.NewConn(context.Background(), messenger.NewStream(a, &messenger.Traffic{}), nil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -175,6 +175,8 @@
 // follow hands the leader all that this instance has placed or waits for.
 func (c *Coordinator) follow(now time.Time, m joined) {
 	c.leader = m.link
+	c.leaderName = m.answer.Self.Name
+	c.lostLeader = ""
 	c.convener.Joined(now, m.answer.Self)
 	for id, p := range c.placed {
 		message := adoptMessage{
@@ -198,6 +200,7 @@
 	}
 	c.leader.close()
 	c.leader = nil
+	c.lostLeader = c.leaderName
 	c.fed = false
 	c.leaderLostStore = false
 	c.aloneSince = c.options.Clock.Now()
@@ -394,7 +397,7 @@
 	}
 	if c.convener.Role() != convener.Leading {
 		for _, m := range c.members {
-			if m.Name != c.options.Self.Name {
+			if m.Name != c.options.Self.Name && m.Name != c.lostLeader {
 				list = append(list, m)
 			}
 		}
@@ -421,7 +424,7 @@
 func (c *Coordinator) inherit(list []Member) []Member {
 	for _, m := range c.members {
 		known := slices.ContainsFunc(list, func(k Member) bool { return k.Instance == m.Instance })
-		if !known && m.Name != c.options.Self.Name && !c.departed[m.Name] {
+		if !known && m.Name != c.options.Self.Name && m.Name != c.lostLeader {
 			list = append(list, m)
 		}
 	}
