Name the parts of the gateway with the field's usual terms

bergamothollow story becomes trace, the desk a status server, patience and silence become timeouts, turns a rank delay. No change of behaviour.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -89,7 +89,7 @@
 	logger   *log.Logger
 	control  *coordinator.Coordinator
 	receiver *receiver.Server
-	desk     *receiver.Desk
+	status   *receiver.StatusServer
 	lines    *dropper.Dropper
 }
 
@@ -119,7 +119,7 @@
 	failed := make(chan error, 2)
 	go i.control.Run(ctx)
 	go func() { failed <- i.receiver.Run() }()
-	go func() { failed <- i.desk.Run() }()
+	go func() { failed <- i.status.Run() }()
 	i.logger.Info().Str("callers", settings.Listen.Callers).Str("file", file).Msg("gateway: started")
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -255,7 +255,7 @@
 		Log:     i.logger,
 		Metrics: receiver.NewMetrics(registry),
 	})
-	i.desk = receiver.NewDesk(receiver.DeskOptions{
+	i.status = receiver.NewStatusServer(receiver.StatusOptions{
 		Readiness:   listeners[g.Readiness],
 		ReadyPath:   platform.ReadyPath,
 		Directory:   listeners[g.Directory],
--- a/internal/cmd/registrar.go
+++ b/internal/cmd/registrar.go
@@ -14,10 +14,10 @@
 	keycreator "bergamothollow.example/bergamothollow/internal/cmd/key/create"
 	refusalslister "bergamothollow.example/bergamothollow/internal/cmd/refusals"
 	statusreporter "bergamothollow.example/bergamothollow/internal/cmd/status"
-	teller "bergamothollow.example/bergamothollow/internal/cmd/story"
 	targetadder "bergamothollow.example/bergamothollow/internal/cmd/target/add"
 	targetrestorer "bergamothollow.example/bergamothollow/internal/cmd/target/in"
 	targetremover "bergamothollow.example/bergamothollow/internal/cmd/target/out"
+	tracer "bergamothollow.example/bergamothollow/internal/cmd/trace"
 	"bergamothollow.example/bergamothollow/internal/factory"
 )
 
@@ -41,7 +41,7 @@
 		noun(f, "key", "make keys for approvals", keycreator.NewCommand(f)),
 		statusreporter.NewCommand(f),
 		refusalslister.NewCommand(f),
-		teller.NewCommand(f),
+		tracer.NewCommand(f),
 	}
 }
 
--- a/internal/cmd/story/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package teller implements `bergamothollow story`, which follows one request through a log.
-package teller
--- a/internal/cmd/story/teller.go
+++ b/internal/cmd/trace/tracer.go
@@ -1,4 +1,4 @@
-package teller
+package tracer
 
 import (
 	"bufio"
@@ -17,14 +17,14 @@
 	"bergamothollow.example/bergamothollow/internal/factory"
 )
 
-const help = `bergamothollow story REQUEST [--log FILE] [--json]
+const help = `bergamothollow trace REQUEST [--log FILE] [--json]
 
 Print what the log says of one request, in the order in which it happened, and what the instance
 knew at the time. Reads the log of one or more instances from a file or from standard input.
 
 Examples:
-  bergamothollow story 9c41d07be2a35f68 --log instance.log
-  cat pier-*.log | bergamothollow story 9c41d07be2a35f68 --json
+  bergamothollow trace 9c41d07be2a35f68 --log instance.log
+  cat pier-*.log | bergamothollow trace 9c41d07be2a35f68 --json
 `
 
 // maxLineBytes bounds one line of a log.
@@ -44,7 +44,7 @@
 	}
 	return &factory.Command{
 		Factory: f,
-		Verb:    "story",
+		Verb:    "trace",
 		Summary: "follow one request through a log",
 		Help:    help,
 		Flags: func(flags *flag.FlagSet) {
@@ -89,18 +89,18 @@
 		defer func() { _ = file.Close() }()
 		input = file
 	}
-	story, err := read(input, request)
+	entries, err := read(input, request)
 	if err != nil {
 		return err
 	}
 	if o.JSON {
-		lines := make([]map[string]any, 0, len(story))
-		for _, e := range story {
+		lines := make([]map[string]any, 0, len(entries))
+		for _, e := range entries {
 			lines = append(lines, e.fields)
 		}
 		return o.Factory.JSON(lines)
 	}
-	for _, e := range story {
+	for _, e := range entries {
 		o.Factory.Printf("%s\n", e.text())
 	}
 	return nil
--- a/internal/cmd/story/teller_test.go
+++ b/internal/cmd/trace/tracer_test.go
@@ -1,4 +1,4 @@
-package teller
+package tracer
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 not a line of the log
 `
 
-func tell(t *testing.T, json bool, request string) (string, error) {
+func trace(t *testing.T, json bool, request string) (string, error) {
 	t.Helper()
 	var output bytes.Buffer
 	f := factory.New(strings.NewReader(lines), &output, &output)
@@ -30,9 +30,9 @@
 	return output.String(), err
 }
 
-// Guards against a story that mixes requests, loses the order, or leaves out what the instance knew at the time.
-func TestStory(t *testing.T) {
-	got, err := tell(t, false, "r1")
+// Guards against a lines that mixes requests, loses the order, or leaves out what the instance knew at the time.
+func TestTrace(t *testing.T) {
+	got, err := trace(t, false, "r1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,13 +51,13 @@
 }
 
 // Guards against output that programs cannot read, and against silence about a request that is in no log.
-func TestStoryFormats(t *testing.T) {
-	got, err := tell(t, true, "r1")
+func TestTraceFormats(t *testing.T) {
+	got, err := trace(t, true, "r1")
 	if err != nil || !strings.HasPrefix(got, "[") || strings.Count(got, `"message"`) != 3 {
 		t.Errorf("got %s, %v", got, err)
 	}
 	var missing *NotFoundError
-	if _, err := tell(t, false, "r9"); !errors.As(err, &missing) {
+	if _, err := trace(t, false, "r9"); !errors.As(err, &missing) {
 		t.Errorf("got %v", err)
 	}
 	var usage *factory.UsageError
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,10 +37,10 @@
 	Body   []byte
 	// HasBody is set when the request has a body, even an empty one.
 	HasBody bool
-	// Patience is how long the header of the answer may take; 0 leaves it to the context.
-	Patience time.Duration
-	// Patient requests are not given up when their connection stops answering probes: they may not be repeated.
-	Patient bool
+	// HeaderTimeout is how long the header of the answer may take; 0 leaves it to the context.
+	HeaderTimeout time.Duration
+	// KeepSilent requests are not given up when their connection stops answering probes: they may not be repeated.
+	KeepSilent bool
 }
 
 // Answer is the response of a target; Close must be called.
@@ -79,7 +79,7 @@
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   !o.Patient,
+			Enable:   !o.KeepSilent,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
@@ -99,7 +99,7 @@
 	a.stop = context.AfterFunc(ctx, func() {
 		_ = conn.Close()
 	})
-	a.ExpectWithin(o.Patience)
+	a.SetReadTimeout(o.HeaderTimeout)
 	head := o.head()
 	// A target may answer before it has read a long body, so that writing must not hold up reading.
 	go func() {
@@ -165,12 +165,12 @@
 
 var errInformational = fmt.Errorf("more than %d informational answers", maxInformational)
 
-// ExpectWithin bounds the time until the next bytes of the answer; 0 leaves it to the context. Connections may go silent for
+// SetReadTimeout bounds the time until the next bytes of the answer; 0 leaves it to the context. Connections may go silent for
 // good without being closed.
-func (a *Answer) ExpectWithin(patience time.Duration) {
+func (a *Answer) SetReadTimeout(timeout time.Duration) {
 	until := time.Time{}
-	if patience > 0 {
-		until = time.Now().Add(patience)
+	if timeout > 0 {
+		until = time.Now().Add(timeout)
 	}
 	// The error says that the connection is closed, which the next read reports.
 	_ = a.conn.SetReadDeadline(until)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -36,8 +36,8 @@
 	id      namer.Target
 	address string
 	helpers string
-	// patience is how long the first bytes of the answer may take; 0 means until the deadline.
-	patience time.Duration
+	// timeout is how long the first bytes of the answer may take; 0 means until the deadline.
+	timeout time.Duration
 }
 
 // outgoing builds what a target receives.
@@ -64,15 +64,15 @@
 		add(names.Helpers, d.helpers)
 	}
 	return forwarder.Outgoing{
-		Address:  d.address,
-		Method:   r.method,
-		URI:      r.uri,
-		Host:     r.host,
-		Header:   header,
-		Body:     r.body,
-		HasBody:  r.hasBody,
-		Patience: d.patience,
-		Patient:  r.match.Route.Kind == matcher.NonIdempotent,
+		Address:       d.address,
+		Method:        r.method,
+		URI:           r.uri,
+		Host:          r.host,
+		Header:        header,
+		Body:          r.body,
+		HasBody:       r.hasBody,
+		HeaderTimeout: d.timeout,
+		KeepSilent:    r.match.Route.Kind == matcher.NonIdempotent,
 	}
 }
 
--- a/internal/receiver/desk.go
+++ b/internal/receiver/status.go
@@ -14,8 +14,8 @@
 	"bergamothollow.example/bergamothollow/internal/coordinator"
 )
 
-// DeskOptions are what a desk is built from.
-type DeskOptions struct {
+// StatusOptions are what a status server is built from.
+type StatusOptions struct {
 	Readiness   net.Listener
 	ReadyPath   string
 	Directory   net.Listener
@@ -27,38 +27,38 @@
 	Answer func(addresses []string) any
 }
 
-// Desk answers liveness checks, questions for addresses, and metrics.
-type Desk struct {
-	options DeskOptions
+// StatusServer answers liveness checks, questions for addresses, and metrics.
+type StatusServer struct {
+	options StatusOptions
 	servers []*server.Hertz
 }
 
-// NewDesk returns a desk on the options' listeners.
-func NewDesk(o DeskOptions) *Desk {
-	d := &Desk{
+// NewStatusServer returns a status server on the options' listeners.
+func NewStatusServer(o StatusOptions) *StatusServer {
+	s := &StatusServer{
 		options: o,
 	}
 	readiness := NewHertz(o.Readiness)
-	readiness.GET(o.ReadyPath, d.ready)
+	readiness.GET(o.ReadyPath, s.ready)
 	directory := NewHertz(o.Directory)
-	directory.GET(o.ResolvePath, d.resolve)
+	directory.GET(o.ResolvePath, s.resolve)
 	metrics := NewHertz(o.Metrics)
 	metrics.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(o.Registry, promhttp.HandlerOpts{})))
-	d.servers = []*server.Hertz{readiness, directory, metrics}
-	return d
+	s.servers = []*server.Hertz{readiness, directory, metrics}
+	return s
 }
 
 // Run answers until a server fails.
-func (d *Desk) Run() error {
-	failed := make(chan error, len(d.servers))
-	for _, h := range d.servers {
+func (s *StatusServer) Run() error {
+	failed := make(chan error, len(s.servers))
+	for _, h := range s.servers {
 		go func() { failed <- h.Run() }()
 	}
 	return <-failed
 }
 
-func (d *Desk) ready(_ context.Context, c *app.RequestContext) {
-	view := d.options.Control.View()
+func (s *StatusServer) ready(_ context.Context, c *app.RequestContext) {
+	view := s.options.Control.View()
 	if view.Rules == nil || view.Leaving {
 		c.String(http.StatusServiceUnavailable, "not ready: no rules known yet, or leaving\n")
 		return
@@ -66,8 +66,8 @@
 	c.String(http.StatusOK, "ready\n")
 }
 
-func (d *Desk) resolve(_ context.Context, c *app.RequestContext) {
-	view := d.options.Control.View()
+func (s *StatusServer) resolve(_ context.Context, c *app.RequestContext) {
+	view := s.options.Control.View()
 	addresses := make([]string, 0, len(view.Members))
 	for _, m := range view.Members {
 		addresses = append(addresses, m.Callers)
@@ -76,5 +76,5 @@
 		c.String(http.StatusServiceUnavailable, "no instance is known to be ready\n")
 		return
 	}
-	c.JSON(http.StatusOK, d.options.Answer(addresses))
+	c.JSON(http.StatusOK, s.options.Answer(addresses))
 }
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -77,13 +77,13 @@
 }
 
 const (
-	// firstPatience is added to the predicted time to the first event of a stream that another engine can serve. A shorter one
+	// firstEventTimeout is added to the predicted time to the first event of a stream that another engine can serve. A shorter one
 	// gave up on engines that were only busy, and asked others to read the prompt again.
-	firstPatience = 4 * time.Second
-	// pausePatience is how many times its longest pause a stream may be silent before it goes on at another engine; callers
+	firstEventTimeout = 4 * time.Second
+	// pauseTimeoutFactor is how many times its longest pause a stream may be silent before it goes on at another engine; callers
 	// give up at eight times, and not before 2 s.
-	pausePatience    = 5
-	minPausePatience = 1600 * time.Millisecond
+	pauseTimeoutFactor = 5
+	minPauseTimeout    = 1600 * time.Millisecond
 )
 
 // replaceable reports whether the stream could still go on at another engine.
@@ -92,13 +92,13 @@
 	return r.match.Route.Repeatable() && r.sends+1 < r.match.Route.MaxAttempts
 }
 
-// silence is how long the stream may pause before it goes on at another engine; 0 means until the deadline.
-func (t *transfer) silence() time.Duration {
+// pauseTimeout is how long the stream may pause before it goes on at another engine; 0 means until the deadline.
+func (t *transfer) pauseTimeout() time.Duration {
 	pause := t.request.match.Route.LongestPause
 	if pause == 0 || t.request.sends >= t.request.match.Route.MaxAttempts {
 		return 0
 	}
-	return max(minPausePatience, pausePatience*pause)
+	return max(minPauseTimeout, pauseTimeoutFactor*pause)
 }
 
 // errCaller means that the caller no longer reads.
@@ -156,7 +156,7 @@
 		helpers: s.helpers(p, reserved),
 	}
 	if t.replaceable() {
-		d.patience = firstPatience + p.FirstEvent
+		d.timeout = firstEventTimeout + p.FirstEvent
 	}
 	s.logPlacement(r, p)
 	ctx, cancel := context.WithCancel(ctx)
@@ -257,7 +257,7 @@
 			return verdictUnknown, errors.Join(errCaller, err)
 		}
 		t.note(t.server.options.Clock.Now())
-		answer.ExpectWithin(t.silence())
+		answer.SetReadTimeout(t.pauseTimeout())
 		if event.ID != "" {
 			t.lastEvent = event.ID
 		}
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -10,16 +10,16 @@
 	Ping time.Duration
 	// Silence is how long a leader may say nothing before it counts as lost.
 	Silence time.Duration
-	// Turn is how much later an instance of the next rank tries to lead.
-	Turn time.Duration
+	// RankDelay is how much later an instance of the next rank tries to lead.
+	RankDelay time.Duration
 	// MaxRank bounds the wait.
 	MaxRank int
 	// Unreachable is how long a peer that could not be joined is passed over.
 	Unreachable time.Duration
 	// Check is how often a leader looks whether the store still names it.
 	Check time.Duration
-	// Hesitations is how often a peer that lives but does not lead is asked again.
-	Hesitations int
+	// NotLeadingRetries is how often a peer that lives but does not lead is asked again.
+	NotLeadingRetries int
 	// Retry is how long an instance that reached nobody leads itself alone before it searches again.
 	Retry time.Duration
 }
@@ -27,14 +27,14 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		Ping:        250 * time.Millisecond,
-		Silence:     800 * time.Millisecond,
-		Turn:        40 * time.Millisecond,
-		MaxRank:     16,
-		Unreachable: 2 * time.Second,
-		Check:       3 * time.Second,
-		Hesitations: 3,
-		Retry:       time.Second,
+		Ping:              250 * time.Millisecond,
+		Silence:           800 * time.Millisecond,
+		RankDelay:         40 * time.Millisecond,
+		MaxRank:           16,
+		Unreachable:       2 * time.Second,
+		Check:             3 * time.Second,
+		NotLeadingRetries: 3,
+		Retry:             time.Second,
 	}
 }
 
@@ -116,8 +116,8 @@
 	// line are the peers to try while the store is away.
 	line  []Peer
 	tries int
-	// hesitations counts the answers of peers that do not lead yet.
-	hesitations int
+	// notLeading counts the answers of peers that do not lead yet.
+	notLeading  int
 	unreachable map[string]time.Time
 	heard       time.Time
 	pinged      time.Time
@@ -197,7 +197,7 @@
 	c.pending = false
 	c.takeover = false
 	c.tries = 0
-	c.hesitations = 0
+	c.notLeading = 0
 }
 
 // Lost records that the connection to the leader has broken.
@@ -224,7 +224,7 @@
 	case pointer.Version == 0 || c.avoided(now, pointer.Leader):
 		// Nobody leads, or the one who did cannot be reached.
 		c.takeover = true
-		c.next = now.Add(time.Duration(min(c.rank, c.settings.MaxRank)) * c.settings.Turn)
+		c.next = now.Add(time.Duration(min(c.rank, c.settings.MaxRank)) * c.settings.RankDelay)
 		return c.Tick(now)
 	default:
 		c.role = Searching
@@ -296,9 +296,9 @@
 // Redirected records that a peer follows another one.
 func (c *Convener) Redirected(now time.Time, from, to Peer) []Action {
 	c.pending = false
-	if to.Address == "" && c.hesitations < c.settings.Hesitations {
+	if to.Address == "" && c.notLeading < c.settings.NotLeadingRetries {
 		// The peer lives and is about to lead, or looks for a leader itself.
-		c.hesitations++
+		c.notLeading++
 		c.next = now.Add(c.settings.Ping)
 		return nil
 	}
@@ -317,9 +317,9 @@
 	}
 	if p.Name == c.pointer.Leader.Name {
 		c.takeover = true
-		c.next = now.Add(time.Duration(min(c.rank, c.settings.MaxRank)) * c.settings.Turn)
+		c.next = now.Add(time.Duration(min(c.rank, c.settings.MaxRank)) * c.settings.RankDelay)
 		return c.Tick(now)
 	}
-	c.next = now.Add(c.settings.Turn)
+	c.next = now.Add(c.settings.RankDelay)
 	return nil
 }
