--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,8 @@
 	leader     *link
 	leaderName string
 	followers  map[*link]struct{}
+	// early are messages of peers that this instance neither follows nor leads yet.
+	early map[*link][]inbound
 	// members is what the leader has said last; told is what this instance has said as a leader.
 	members []Member
 	told    membersMessage
@@ -133,6 +135,7 @@
 		placed:    map[namer.Request]*placed{},
 		owners:    map[namer.Request]*link{},
 		followers: map[*link]struct{}{},
+		early:     map[*link][]inbound{},
 		objects:   map[storer.Kind]map[string]storer.Object{},
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -385,3 +385,30 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
+
+// Guards against the leader's first messages being lost: they may be read before the control goroutine has heard that the
+// leader accepts, and are sent once only. TestRulesFromAPeer failed for it once in CI.
+func TestMessagesBeforeTheOutcomeOfJoining(t *testing.T) {
+	one := New(startInstance(t, newStore(), 0).options)
+	l := &link{
+		conn: closedConn(t),
+		gone: make(chan struct{}),
+		out:  make(chan func() error, linkQueue),
+	}
+	now := time.Unix(1_000, 0)
+	rules := one.pack([]storer.Event{{
+		Type:   storer.EventPut,
+		Object: storer.Object{Kind: kindRules, Name: "main", Version: 2, Value: json.RawMessage(`{"Version":7}`)},
+	}}, true)
+	one.takeInbound(now, inbound{link: l, method: methodObjects, params: rules})
+	if one.rules != nil {
+		t.Fatal("a peer that is not followed was believed")
+	}
+	one.takeJoined(context.Background(), now, joined{
+		link:   l,
+		answer: joinAnswer{Accepted: true, Self: convener.Peer{Name: "leader"}},
+	})
+	if one.rules == nil || one.rules.Rules.Version != 7 {
+		t.Error("the rules were lost")
+	}
+}
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -166,6 +166,11 @@
 		c.act(ctx, c.convener.Refused(now, m.peer))
 	case m.answer.Accepted:
 		c.follow(now, m)
+		early := c.early[m.link]
+		delete(c.early, m.link)
+		for _, e := range early {
+			c.takeInbound(now, e)
+		}
 		c.act(ctx, nil)
 	default:
 		c.act(ctx, c.convener.Redirected(now, m.peer, m.answer.Leader))
@@ -211,6 +216,7 @@
 }
 
 func (c *Coordinator) takeUnlinked(ctx context.Context, now time.Time, l *link) {
+	delete(c.early, l)
 	if l == c.leader {
 		c.act(ctx, c.convener.Lost(now))
 		return
@@ -243,12 +249,17 @@
 		return
 	}
 	var err error
-	if m.link == c.leader {
+	_, follows := c.followers[m.link]
+	switch {
+	case m.link == c.leader:
 		c.convener.Heard(now)
 		err = c.takeLeader(now, m)
-	} else if _, follows := c.followers[m.link]; follows {
+	case follows:
 		m.link.seen = now
 		err = c.takeFollower(now, m)
+	case len(c.early[m.link]) < maxEarly:
+		// A leader may write before this goroutine has heard that it accepts.
+		c.early[m.link] = append(c.early[m.link], m)
 	}
 	if err != nil {
 		c.options.Log.Error().Err(err).Str("method", m.method).Msg("coordinator: message of a peer not readable")
@@ -256,6 +267,9 @@
 	}
 }
 
+// maxEarly bounds the messages of a peer that are kept until the outcome of joining it is known.
+const maxEarly = 64
+
 // admit answers an instance that wants to follow.
 func (c *Coordinator) admit(now time.Time, m inbound) {
 	var request joinRequest
