--- a/internal/configurer/load.go
+++ b/internal/configurer/load.go
@@ -50,30 +50,24 @@
 
 // Load reads and checks settings; keys that only an instance needs are required if instance is set.
 func Load(file string) (Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, &FileError{
-			File:  file,
-			Cause: err,
-		}
-	}
-	return parse(file, content, false)
+	return loadChecked(file, func(c *checker, s Settings) error {
+		return c.check(s, s.Instance != "")
+	})
 }
 
 // LoadInstance is Load for a file that must hold all keys of an instance.
 func LoadInstance(file string) (Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, &FileError{
-			File:  file,
-			Cause: err,
-		}
-	}
-	return parse(file, content, true)
+	return loadChecked(file, func(c *checker, s Settings) error {
+		return c.check(s, true)
+	})
 }
 
 // LoadGateway is Load for a file that must hold all keys of an instance on the users' platform.
 func LoadGateway(file string) (Settings, error) {
+	return loadChecked(file, (*checker).checkGateway)
+}
+
+func loadChecked(file string, check func(*checker, Settings) error) (Settings, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, &FileError{
@@ -81,18 +75,10 @@
 			Cause: err,
 		}
 	}
-	settings := Defaults()
-	document, err := Decode(file, content, &settings)
-	if err != nil {
-		return Settings{}, err
-	}
-	c := checker{
-		document: document,
-	}
-	return settings, c.checkGateway(settings)
+	return parse(file, content, check)
 }
 
-func parse(file string, content []byte, instance bool) (Settings, error) {
+func parse(file string, content []byte, check func(*checker, Settings) error) (Settings, error) {
 	settings := Defaults()
 	document, err := Decode(file, content, &settings)
 	if err != nil {
@@ -107,7 +93,7 @@
 	c := checker{
 		document: document,
 	}
-	return settings, c.check(settings, instance || settings.Instance != "")
+	return settings, check(&c, settings)
 }
 
 // Document is a decoded YAML file that knows the lines of its fields.
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -148,7 +148,7 @@
 	took := s.options.Clock.Now().Sub(r.received)
 	switch {
 	case f == nil:
-		w.finish()
+		// The library writes the end of a stream when the handler returns.
 		s.options.Metrics.served(r, took)
 		return
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/receiver/writer.go
+++ b/internal/receiver/writer.go
@@ -59,9 +59,6 @@
 	return w.stream.Flush()
 }
 
-// finish ends an answer that is complete; the library writes the end of a stream.
-func (w *writer) finish() {}
-
 // abort closes the connection without the end of the answer, so that it does not look complete.
 func (w *writer) abort() {
 	// The library writes the remains of a response when the handler returns; this writer drops them.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -101,10 +102,7 @@
 	}
 	b.targets = fresh
 	slices.SortFunc(b.order, func(x, y *target) int {
-		if x.ID < y.ID {
-			return -1
-		}
-		return 1
+		return cmp.Compare(x.ID, y.ID)
 	})
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -60,10 +61,7 @@
 	}
 	s.engines = fresh
 	slices.SortFunc(s.order, func(a, b *engine) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.ID, b.ID)
 	})
 }
 
