Let the load of scenario target_out run until the scenario ends it

The load lasted 13 s from its start, while the steps before the target came back took longer (the first part 23 s instead of 16 s), so that no request was left to show that it gets work again. Ruled out: the target not coming back (it is listed again, and gets work as soon as there is some). Before: fails once the steps take more than 13 s. After: passes beside ten busy processes. The scenario's checks are the same; the load is ended with SIGINT, which the loader now takes as the end of sending.

--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -63,8 +63,10 @@
 	return f.Execute(ctx, append(registrar.Commands(f), starter.NewCommand(f)), arguments)
 }
 
-// runLoad is the loader with the instances and customers of the scenario's cell.
+// runLoad is the loader with the instances and customers of the scenario's cell; it stops sending on SIGINT.
 func runLoad(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt)
+	defer stop()
 	defaults := []string{
 		"--instances", os.Getenv("ENTRIES"), "--model", "statement", "--long-every", "0", "--short-median", "1000",
 		"--max-prompt", "6000", "--customers", "crew-shares=1", "--deadline", "20s", "--rate", "30",
