Notice the return of the store at once, and take one failed watch for no outage

The watcher reported the store's return only when its next watch ended, up to 3 s later on an idle store, after a pause of up to 2 s; targets that had vanished were kept for 2 s more, beyond the 3 s after which such an instance counts as in touch. A watch that was merely cut off had the same effect. Ruled out: a check of the target too long before the send (it stands before the connection is opened). Change: the watch after a failure does not wait; pauses are at most 500 ms at the gateway; watches wait 2 s instead of 3 s; the store counts as lost after two failed calls in a row. Before: tests notice the return after 10 s, and keep a target that left during one cut watch. After: at once, and not kept.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -44,6 +44,9 @@
 
 const (
 	incarnationBytes = 4
+	// storeRetryDelay bounds the pause between calls to a store that does not answer. With targetReturn it stays below the 3 s
+	// after which users hold this instance to the store's state again.
+	storeRetryDelay = 500 * time.Millisecond
 	// targetReturn is how long after an outage of the store the entries of live targets take to be back.
 	targetReturn = 2 * time.Second
 	// exitMargin is kept free at the end of the grace period.
@@ -191,7 +194,9 @@
 		return err
 	}
 	clock := i.options.Factory.Clock
-	store := storer.NewClient(plain, storer.DefaultClientSettings(s.Platform.CallsPerSecond), clock,
+	calls := storer.DefaultClientSettings(s.Platform.CallsPerSecond)
+	calls.Retry.Max = storeRetryDelay
+	store := storer.NewClient(plain, calls, clock,
 		mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
 	peers, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -126,7 +126,7 @@
 			RetryWindow:     10 * time.Second,
 			RetryExtra:      100,
 			AddressValidity: time.Second,
-			WatchWait:       3 * time.Second,
+			WatchWait:       2 * time.Second,
 			MemoryBytes:     64 * mebibyte,
 		},
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,8 @@
 	// aloneSince is when the leader was lost; it is zero at the start, so that the store is asked at once.
 	aloneSince time.Time
 	lost       map[storer.Kind]bool
+	// failures counts the calls in a row that failed, by the kind of object.
+	failures map[storer.Kind]int
 	leaving    bool
 	stale      bool
 }
@@ -139,6 +141,7 @@
 		objects:   map[storer.Kind]map[string]storer.Object{},
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
+		failures:  map[storer.Kind]int{},
 	}
 	rank, line := turn(o)
 	c.convener = convener.New(o.Convener, c.self(), rank, line)
@@ -331,9 +334,20 @@
 	}
 }
 
+// lostAfter is how many calls in a row fail before the store counts as lost: a waiting watch may be cut off at any time, and
+// targets that leave just then have not lapsed in an outage.
+const lostAfter = 2
+
 // report records whether the store answers, for each watcher.
 func (c *Coordinator) report(now time.Time, m reported) {
-	down := m.err != nil
+	c.failures[m.kind]++
+	if m.err == nil {
+		c.failures[m.kind] = 0
+	}
+	down := c.failures[m.kind] >= lostAfter
+	if m.err != nil && !down {
+		return
+	}
 	if m.kind == c.options.Format.Targets {
 		// Also after the leader had lost the store: entries that vanish now have not lapsed in an outage.
 		c.catalogue.SetStore(now, !down)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -346,6 +346,37 @@
 	}
 }
 
+// Guards against work for a target that left while one watch was cut off: a single failed call is no outage in which entries
+// lapse. Pattern: watches that are cut off while engines are emptied (DRAIN on quetzal, trouble-1 and scale-2 with
+// platform_down and scale_in).
+func TestCutWatchIsNoOutage(t *testing.T) {
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	lost := reported{kind: kindTargets, err: &storer.UnavailableError{Cause: io.ErrUnexpectedEOF}}
+	for name, test := range map[string]struct {
+		failures int
+		kept     bool
+	}{
+		"one failed call":  {failures: 1},
+		"two failed calls": {failures: 2, kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one := New(startInstance(t, newStore(), 0).options)
+			now := time.Unix(1_000, 0)
+			one.change(now, storer.Event{Type: storer.EventPut, Object: entry})
+			for range test.failures {
+				one.report(now, lost)
+			}
+			gone := entry
+			gone.Version = 4
+			one.change(now, storer.Event{Type: storer.EventDelete, Object: gone})
+			one.report(now, reported{kind: kindTargets})
+			if got := one.catalogue.Catalogue().Usable("a"); got != test.kept {
+				t.Errorf("a target that vanished is kept: %t, want %t", got, test.kept)
+			}
+		})
+	}
+}
+
 // Guards against instances that each take the whole of what they share. Pattern: all lose power and start at the same
 // moment, without a leader, with cold engines (final faults; BUDGET and FAILBACK on grown quetzal days).
 func TestInstancesWithoutALeaderTakeTheirPart(t *testing.T) {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -40,6 +40,7 @@
 			c.stopWatching()
 			c.stopWatching = nil
 			clear(c.lost)
+			clear(c.failures)
 			c.options.Log.Info().Int("rank", c.rank).Msg("coordinator: fed by the leader")
 		}
 		c.aloneSince = now
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -167,3 +167,48 @@
 		convey.So(watcher.Read().Age, convey.ShouldEqual, time.Minute)
 	})
 }
+
+// idleStore has no changes; its first watch after the list breaks off.
+type idleStore struct {
+	*faultyStore
+	waits []time.Duration
+}
+
+func (s *idleStore) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+	s.waits = append(s.waits, wait)
+	if len(s.waits) == 1 {
+		return Changes{}, &UnavailableError{Sent: true, Cause: errLost}
+	}
+	return s.faultyStore.Watch(ctx, kind, after, wait)
+}
+
+// Guards against a store that counts as away for the whole wait of an idle watch after its return. Pattern: platform_down,
+// and a waiting watch that is cut off.
+func TestReturnIsNoticedAtOnce(t *testing.T) {
+	clock := &skipClock{now: time.Unix(1000, 0)}
+	store := &idleStore{faultyStore: newFaultyStore(clock)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var lost, back time.Time
+	w := NewWatcher(newTestClient(store, clock), WatcherSettings{
+		Kind: KindMember,
+		Wait: 10 * time.Second,
+		Report: func(err error) {
+			switch {
+			case err != nil:
+				lost = clock.now
+			case !lost.IsZero() && back.IsZero():
+				back = clock.now
+			case !back.IsZero():
+				cancel()
+			}
+		},
+	})
+	w.Run(ctx)
+	if took := back.Sub(lost); took > time.Second {
+		t.Errorf("the return was noticed after %v", took)
+	}
+	if usual := store.waits[2]; usual != 10*time.Second {
+		t.Errorf("the watch after the return waits %v", usual)
+	}
+}
--- a/pkg/storer/watcher.go
+++ b/pkg/storer/watcher.go
@@ -34,10 +34,16 @@
 	Report func(error)
 }
 
+// probeWait is the wait of a watch after a failure: with the usual one, the return of an idle store would be noticed only
+// when that wait is over.
+const probeWait = time.Millisecond
+
 // Watcher follows one kind of object and keeps a cache of it.
 type Watcher struct {
 	client   *Client
 	settings WatcherSettings
+	// suspicious is set while the last call has failed; it belongs to the goroutine of Run.
+	suspicious bool
 
 	mu        sync.Mutex
 	cache     cache
@@ -75,12 +81,14 @@
 			listed = false
 		case err != nil:
 			failures++
+			w.suspicious = true
 			delay := w.client.settings.Retry.delay(failures, w.client.roll())
 			// An error here means that the context has ended, which the loop checks.
 			_ = w.client.sleep(ctx, delay)
 		default:
 			listed = true
 			failures = 0
+			w.suspicious = false
 		}
 	}
 }
@@ -112,7 +120,11 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	changes, err := w.client.Watch(ctx, w.settings.Kind, w.Read().Version, w.settings.Wait)
+	wait := w.settings.Wait
+	if w.suspicious {
+		wait = probeWait
+	}
+	changes, err := w.client.Watch(ctx, w.settings.Kind, w.Read().Version, wait)
 	if err != nil {
 		return err
 	}
