Log which engines help with a prompt

The line 'receiver: placed' named only their number, so that a late first event could not be traced to the work of others on the same engines.

--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -275,7 +275,11 @@
 }
 
 func (s *Server) logPlacement(r *request, p scheduler.Placement) {
-	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Int("helpers", len(p.Helpers)).
+	helpers := make([]string, 0, len(p.Helpers))
+	for _, h := range p.Helpers {
+		helpers = append(helpers, string(h.Engine))
+	}
+	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Strs("helpers", helpers).
 		Int("prompt", r.prompt).Int("output", r.output).Dur("waited", p.Waited).Dur("backlog", p.Backlog).
 		Dur("predicted", p.FirstEvent).Int64("rules", r.view.Rules.Rules.Version).Msg("receiver: placed")
 }
