Take a leader whose process was restarted as gone at once

Cause: after a final fault in which all processes are killed, the object in the store names a process that is gone, while a new one answers at its address. Ruled out: the wait by rank (40 ms a rank), the store (it answers in 4 ms). Change: an answer of another process than the one that the store names ends the attempt, and the instance that led before takes over at once. TestAllRestarted fails before (node-1.2 still searches after 200 ms).

--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -173,7 +173,7 @@
 		}
 		c.act(ctx, nil)
 	default:
-		c.act(ctx, c.convener.Redirected(now, m.peer, m.answer.Leader))
+		c.act(ctx, c.convener.Redirected(now, m.peer, m.answer.Self, m.answer.Leader))
 	}
 }
 
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -221,6 +221,11 @@
 	case pointer.Version != 0 && pointer.Leader.Name == c.self.Name:
 		c.lead(now)
 		return nil
+	case pointer.Leader.Address == c.self.Address:
+		// This instance led before it was restarted: the others can reach nobody at its address but itself.
+		c.takeover = true
+		c.next = now
+		return c.Tick(now)
 	case pointer.Version == 0 || c.avoided(now, pointer.Leader):
 		// Nobody leads, or the one who did cannot be reached.
 		c.takeover = true
@@ -293,9 +298,13 @@
 	c.pinged = now
 }
 
-// Redirected records that a peer follows another one.
-func (c *Convener) Redirected(now time.Time, from, to Peer) []Action {
+// Redirected records that the process at a peer's address, answerer, does not lead and follows another one, if any.
+func (c *Convener) Redirected(now time.Time, from, answerer, to Peer) []Action {
 	c.pending = false
+	if from == c.pointer.Leader && answerer.Name != from.Name {
+		// The leader's process was restarted, so that the one that the store names is gone.
+		return c.Refused(now, from)
+	}
 	if to.Address == "" && c.notLeading < c.settings.NotLeadingRetries {
 		// The peer lives and is about to lead, or looks for a leader itself.
 		c.notLeading++
--- a/pkg/convener/model_test.go
+++ b/pkg/convener/model_test.go
@@ -19,8 +19,10 @@
 
 type node struct {
 	*Convener
-	name  string
-	alive bool
+	self Peer
+	// started counts the processes that have run at the address.
+	started int
+	alive   bool
 	// cut nodes reach no other node.
 	cut bool
 }
@@ -50,24 +52,34 @@
 	return w
 }
 
-func (w *world) add(name string, rank int, line []Peer) {
-	w.nodes = append(w.nodes, &node{
-		Convener: New(DefaultSettings(), peer(name), rank, line),
-		name:     name,
-		alive:    true,
-	})
+func (w *world) add(address string, rank int, line []Peer) {
+	n := &node{}
+	n.start(address, rank, line)
+	w.nodes = append(w.nodes, n)
 }
 
-func peer(name string) Peer {
+// start runs a new process at an address: its name is new.
+func (n *node) start(address string, rank int, line []Peer) {
+	n.started++
+	n.self = Peer{
+		Name:    fmt.Sprint(address, ".", n.started),
+		Address: address,
+	}
+	n.Convener = New(DefaultSettings(), n.self, rank, line)
+	n.alive = true
+}
+
+// peer is an instance as the settings name it: by its address only.
+func peer(address string) Peer {
 	return Peer{
-		Name:    name,
-		Address: name,
+		Name:    address,
+		Address: address,
 	}
 }
 
 func (w *world) find(p Peer) *node {
 	for _, n := range w.nodes {
-		if n.name == p.Address {
+		if n.self.Address == p.Address {
 			return n
 		}
 	}
@@ -99,7 +111,7 @@
 // hear lets followers of a leader that lives and can be reached hear of it.
 func (w *world) hear(n *node) {
 	leader := w.find(n.Leader())
-	if leader != nil && w.reachable(n, leader) && leader.Role() == Leading {
+	if leader != nil && leader.self == n.Leader() && w.reachable(n, leader) && leader.Role() == Leading {
 		n.Heard(w.now)
 	}
 }
@@ -133,7 +145,7 @@
 			return n.Read(w.now, w.pointer)
 		}
 		w.pointer = Pointer{
-			Leader:  peer(n.name),
+			Leader:  n.self,
 			Version: w.pointer.Version + 1,
 		}
 		n.Written(w.now, w.pointer.Version)
@@ -143,9 +155,9 @@
 		case other == nil || other == n || !w.reachable(n, other):
 			return n.Refused(w.now, a.Peer)
 		case other.Role() == Leading:
-			n.Joined(w.now, peer(other.name))
+			n.Joined(w.now, other.self)
 		default:
-			return n.Redirected(w.now, a.Peer, other.Leader())
+			return n.Redirected(w.now, a.Peer, other.self, other.Leader())
 		}
 	}
 	return nil
@@ -165,11 +177,11 @@
 		}
 		switch n.Role() {
 		case Leading:
-			leaders[n.name] = true
+			leaders[n.self.Name] = true
 		case Following:
 			leaders[n.Leader().Name] = true
 		case Searching:
-			t.Fatalf("%s still searches", n.name)
+			t.Fatalf("%s still searches", n.self.Name)
 		}
 	}
 	if len(leaders) != 1 {
@@ -197,11 +209,25 @@
 	leader.alive = false
 	w.run(2 * time.Second)
 	w.assertOneLeader(t)
-	if w.pointer.Leader.Name == leader.name {
+	if w.pointer.Leader.Name == leader.self.Name {
 		t.Error("the store still names the dead leader")
 	}
 }
 
+// Guards against a long time without a leader after all processes were killed at once: the object in the store names a
+// process that is gone, while a new one answers at its address. Pattern: final faults (kill_all, quetzal scale-1: 1 s).
+func TestAllRestarted(t *testing.T) {
+	w := newWorld(8)
+	w.run(3 * time.Second)
+	line := w.nodes[0].line
+	for i, n := range w.nodes {
+		n.start(n.self.Address, i, line)
+	}
+	w.pending = nil
+	w.run(200 * time.Millisecond)
+	w.assertOneLeader(t)
+}
+
 // Guards against instances that stay alone while the store is away, from the start or when the leader is lost.
 func TestStoreAway(t *testing.T) {
 	w := newWorld(8)
@@ -241,6 +267,8 @@
 				n.cut = !n.cut
 			case 2:
 				w.down = !w.down
+			case 4:
+				n.start(n.self.Address, 5, []Peer{peer("node-0"), peer("node-1")})
 			case 3:
 				w.add(fmt.Sprint("late-", i), 10, []Peer{peer("node-0"), peer("node-1")})
 			}
