Weigh first events that would be late, read parts of shared prompts first, and prefer different engines alone

A request that is sent less than 6 ms before a pass begins misses it. Instances that place alone all began with the first engine by name. Change: harm is the value of streams that would pause for too long and of prompts in line that would miss their target; parts come first in the model; transit time; engines are ordered by a preference of the instance.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -202,6 +202,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s (change listen.peers): %w", s.Listen.Peers, err)
 	}
+	placing := scheduler.DefaultSettings()
+	placing.Preference = name
 	i.control = coordinator.New(coordinator.Options{
 		Peers:   peers,
 		Seeds:   s.Seeds,
@@ -222,7 +224,7 @@
 		Catalogue: cataloguer.Settings{
 			Return: targetReturn,
 		},
-		Scheduler: scheduler.DefaultSettings(),
+		Scheduler: placing,
 		Balancer:  balancer.DefaultSettings(),
 		Convener:  convener.DefaultSettings(),
 	})
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -9,8 +9,14 @@
 
 // Settings are the constants of the scheduler.
 type Settings struct {
+	// Preference decides between engines that are equally good. Instances that place alone differ in it, so that they do not
+	// all begin with the same engine.
+	Preference string
 	// PauseMargin is taken off the longest pause of a stream: events also travel, and passes are predicted.
 	PauseMargin time.Duration
+	// Transit is the time from a decision until the engine has the request: a message to the instance, a new connection and
+	// the request, each within a region.
+	Transit time.Duration
 	// MaxParts bounds the engines that read one prompt together.
 	MaxParts int
 	// MinPart is the least reading time of one part: shorter ones cost more steps than they save.
@@ -51,6 +57,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		PauseMargin:  15 * time.Millisecond,
+		Transit:      6 * time.Millisecond,
 		MaxParts:     16,
 		MinPart:      40 * time.Millisecond,
 		PartCost:     2 * time.Millisecond,
--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -13,6 +13,7 @@
 // writing, writes one event of each. So a stream pauses for as long as a pass takes.
 type engine struct {
 	Engine
+	preference uint64
 	// current is read in the pass that ends at passEnd; waiting is read in the next one.
 	current []piece
 	waiting []piece
@@ -36,8 +37,10 @@
 
 // piece is the reading of one request on one engine.
 type piece struct {
-	request namer.Request
-	work    time.Duration
+	run  *run
+	work time.Duration
+	// arrives is when the engine gets the request: a pass that begins before does not read it.
+	arrives time.Time
 }
 
 func newEngine() *engine {
@@ -101,9 +104,18 @@
 	return len(e.waiting) == 0 && e.writers == 0
 }
 
-// nextPass begins a pass at a time.
+// nextPass begins a pass at a time. It reads what has arrived by then.
 func (e *engine) nextPass(start time.Time) {
-	e.current, e.waiting = e.waiting, nil
+	e.current = e.current[:0]
+	waiting := e.waiting[:0]
+	for _, p := range e.waiting {
+		if p.arrives.After(start) {
+			waiting = append(waiting, p)
+			continue
+		}
+		e.current = append(e.current, p)
+	}
+	e.waiting = waiting
 	length := total(e.current) + e.writing()
 	if length <= 0 {
 		length = e.Speed.Step
@@ -116,25 +128,40 @@
 	}
 }
 
-// read adds a piece.
-func (e *engine) read(now time.Time, id namer.Request, work time.Duration) {
+// read adds a piece. A part of a shared prompt is read before all else; only a pass in which requests are writing is not
+// interrupted for it.
+func (e *engine) read(now time.Time, r *run, work, transit time.Duration) {
 	e.advance(now)
-	e.waiting = append(e.waiting, piece{
-		request: id,
+	p := piece{
+		run:     r,
 		work:    work,
-	})
-	if !e.passEnd.After(now) {
+		arrives: now.Add(transit),
+	}
+	switch {
+	case !e.passEnd.After(now):
+		p.arrives = now
+		e.waiting = append(e.waiting, p)
 		e.nextPass(now)
+	case r.shared() && e.writers == 0:
+		e.current = append(e.current, p)
+		e.passEnd = e.passEnd.Add(work)
+	default:
+		e.waiting = append(e.waiting, p)
 	}
 }
 
-// ends predicts when a piece of reading would be done.
-func (e *engine) ends(now time.Time, work time.Duration) time.Time {
+// ends predicts when a piece of reading that is sent now would be done.
+func (e *engine) ends(now time.Time, work, transit time.Duration, shared bool) time.Time {
 	e.advance(now)
-	if !e.passEnd.After(now) {
+	switch {
+	case !e.passEnd.After(now) || shared && e.writers == 0:
 		return now.Add(work)
+	case e.passEnd.Before(now.Add(transit)) && e.writers > 0:
+		// It misses the next pass, too.
+		return e.passEnd.Add(total(e.waiting) + e.writing() + work + e.writing())
+	default:
+		return e.passEnd.Add(total(e.waiting) + work + e.writing())
 	}
-	return e.passEnd.Add(total(e.waiting) + work + e.writing())
 }
 
 // backlog is the time before a new piece would begin to be read.
@@ -143,48 +170,91 @@
 	return max(0, e.passEnd.Sub(now)) + total(e.waiting)
 }
 
-// remove forgets a piece and reports whether it was being read.
+// remove forgets the piece of a request and reports whether it was being read.
 func (e *engine) remove(id namer.Request) bool {
-	match := func(p piece) bool { return p.request == id }
+	match := func(p piece) bool { return p.run.request.ID == id }
 	e.waiting = slices.DeleteFunc(e.waiting, match)
 	before := len(e.current)
 	e.current = slices.DeleteFunc(e.current, match)
 	return len(e.current) != before
 }
 
-// passed records that a pass has ended at now, since a first event comes at the end of one.
+// passed records that a pass has ended at now, since a first event comes at the end of one. Without writers, an engine
+// reads one piece after the other.
 func (e *engine) passed(now time.Time, id namer.Request) {
-	if e.remove(id) {
+	wrote := e.writers > 0
+	switch {
+	case !e.remove(id):
+		// The prediction was ahead or behind: the next pass begins now.
+		e.passEnd = now.Add(total(e.current) + e.writing())
+	case wrote || len(e.current) == 0:
 		// What was read in the same pass is done too.
-		e.current = nil
+		e.current = e.current[:0]
 		e.passEnd = now
-		return
 	}
-	// The prediction was ahead or behind: the next pass begins now.
-	e.passEnd = now.Add(total(e.current) + e.writing())
 }
 
-// tolerance is the longest pass that spoils no stream on the engine; shared is set if there is a bound.
-func (e *engine) tolerance() (bound time.Duration, shared bool) {
+// limit is a bound on further reading at an engine: more than room takes value from a request.
+type limit struct {
+	room  time.Duration
+	value int
+}
+
+// limits lists what further reading would harm: streams that would pause for too long, and prompts in line whose first
+// event would be too late. What is late or has paused for too long already is not harmed.
+func (e *engine) limits(now time.Time, margin time.Duration, shared bool) []limit {
+	e.advance(now)
+	var list []limit
+	add := func(r *run, room time.Duration) {
+		if room >= 0 && !r.spoiled {
+			list = append(list, limit{
+				room:  room,
+				value: r.request.value(),
+			})
+		}
+	}
+	pass := total(e.waiting) + max(e.writing(), time.Duration(e.Speed.StepsPerPass)*e.step())
 	for _, r := range e.runs {
-		if r.request.Pause > 0 && !r.spoiled && (!shared || r.request.Pause < bound) {
-			bound, shared = r.request.Pause, true
+		if r.request.Pause > 0 && !e.waits(r) {
+			add(r, r.request.Pause-margin-pass)
+		}
+	}
+	inLine := e.passEnd.Add(total(e.waiting) + e.writing())
+	for _, p := range e.waiting {
+		add(p.run, p.run.target().Sub(inLine))
+	}
+	if shared && e.writers == 0 {
+		for _, p := range e.current {
+			add(p.run, p.run.target().Sub(e.passEnd))
 		}
 	}
-	return bound, shared
+	return list
 }
 
-// unbounded is the room of an engine whose passes disturb nobody.
-const unbounded = time.Hour
+// waits reports whether a request is read in the next pass at the earliest.
+func (e *engine) waits(r *run) bool {
+	return slices.ContainsFunc(e.waiting, func(p piece) bool { return p.run == r })
+}
 
-// room is the reading that the next pass can take without a pause that is too long.
-func (e *engine) room(now time.Time, margin time.Duration) time.Duration {
-	bound, shared := e.tolerance()
-	if !shared {
-		return unbounded
+// harm is the value that a piece of reading takes from others.
+func harm(limits []limit, work time.Duration) int {
+	sum := 0
+	for _, l := range limits {
+		if work > l.room {
+			sum += l.value
+		}
 	}
-	e.advance(now)
-	return bound - margin - total(e.waiting) - max(e.writing(), time.Duration(e.Speed.StepsPerPass)*e.step())
+	return sum
+}
+
+// sensitive reports whether the engine has streams that tolerate short pauses only.
+func (e *engine) sensitive() bool {
+	for _, r := range e.runs {
+		if r.request.Pause > 0 && !r.spoiled {
+			return true
+		}
+	}
+	return false
 }
 
 // free is the memory that is not planned.
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -37,24 +37,44 @@
 	cost     time.Duration
 }
 
+// candidate is an engine that may read for a request, and what the reading may harm there: alone, alone bounds a whole
+// prompt, shared a part of one.
+type candidate struct {
+	*engine
+	alone  []limit
+	shared []limit
+}
+
 // candidates returns the engines that may read for a request.
-func (s *Scheduler) candidates(now time.Time, r *Request) []*engine {
-	var found []*engine
+func (s *Scheduler) candidates(now time.Time, r *Request) []candidate {
+	var found []candidate
 	for _, e := range s.order {
 		if e.Service == r.Service && e.usable(now) && !slices.Contains(r.Exclude, e.ID) {
-			found = append(found, e)
+			found = append(found, candidate{
+				engine: e,
+				alone:  e.limits(now, s.settings.PauseMargin, false),
+				shared: e.limits(now, s.settings.PauseMargin, true),
+			})
 		}
 	}
 	return found
 }
 
+// harm is the value that a part of a prompt takes from others.
+func (c *candidate) harm(work time.Duration, parts int) int {
+	if parts > 1 {
+		return harm(c.shared, work)
+	}
+	return harm(c.alone, work)
+}
+
 // planned is the memory that a request will hold.
 func (r *Request) planned() int {
 	return r.Prompt + r.Output
 }
 
 // choose finds the cheapest engines for a number of parts: those that end first, with what it costs to disturb others.
-func (s *Scheduler) choose(now time.Time, r *Request, candidates []*engine, parts, most int, urgent bool) (choice, bool) {
+func (s *Scheduler) choose(now time.Time, r *Request, candidates []candidate, parts, most int, urgent bool) (choice, bool) {
 	type option struct {
 		engine *engine
 		cost   time.Duration
@@ -67,13 +87,13 @@
 		if work > s.settings.MaxPart && parts < most {
 			return choice{}, false
 		}
-		harm := s.harm(now, r, e, work)
+		harm := e.harm(work, parts)
 		if harm > 0 && !urgent {
 			continue
 		}
 		options = append(options, option{
-			engine: e,
-			cost:   e.ends(now, work).Sub(now) + s.disturbance(e, parts),
+			engine: e.engine,
+			cost:   e.ends(now, work, s.settings.Transit, parts > 1).Sub(now) + s.disturbance(e.engine, parts),
 			harm:   harm,
 			holds:  len(e.runs) < e.Slots && e.free(s.settings.MemoryShare) >= r.planned(),
 		})
@@ -163,22 +183,15 @@
 // minReservation is the least memory worth an order, in tokens.
 const minReservation = 4096
 
-// harm is the value that a piece of reading takes from the streams of an engine: those that would pause for too long.
-func (s *Scheduler) harm(now time.Time, r *Request, e *engine, work time.Duration) int {
-	if work <= shortWork && e.backlog(now) < r.Latency || work <= e.room(now, s.settings.PauseMargin) {
-		return 0
-	}
-	spoiled := 0
-	for _, other := range e.runs {
-		if !other.spoiled && other.request.Pause > 0 {
-			spoiled += other.request.value()
-		}
-	}
-	return spoiled
+// shared reports whether several engines read the prompt.
+func (r *run) shared() bool {
+	return len(r.helpers) > 0
 }
 
-// shortWork is reading that lengthens a pass by little.
-const shortWork = 60 * time.Millisecond
+// target is when the first event has its full value at the latest.
+func (r *run) target() time.Time {
+	return r.request.Arrived.Add(r.request.Latency)
+}
 
 // gain is the value of a request whose first event comes at a time.
 func (r *Request) gain(first time.Time) float64 {
@@ -196,11 +209,11 @@
 // disturbance is the cost of reading beside streams that tolerate short pauses only, or of putting such a stream on an
 // engine without them.
 func (s *Scheduler) disturbance(e *engine, parts int) time.Duration {
-	_, shared := e.tolerance()
+	sensitive := e.sensitive()
 	switch {
-	case parts > 1 && shared:
+	case parts > 1 && sensitive:
 		return s.settings.SharedCost
-	case parts == 1 && !shared:
+	case parts == 1 && !sensitive:
 		return s.settings.OpenCost
 	default:
 		return 0
@@ -241,13 +254,14 @@
 	s.running[r.ID] = one
 	parts := len(c.helpers) + 1
 	s.load(now, readTime(&first.Speed, r.Prompt, 1))
-	one.expected = first.ends(now, first.part(r.Prompt, parts))
-	first.read(now, r.ID, first.part(r.Prompt, parts))
+	transit := s.settings.Transit
+	one.expected = first.ends(now, first.part(r.Prompt, parts), transit, one.shared())
+	first.read(now, one, first.part(r.Prompt, parts), transit)
 	first.runs[r.ID] = one
 	first.sent(now)
 	for i, h := range c.helpers {
-		ready := h.ends(now, h.part(r.Prompt, parts))
-		h.read(now, r.ID, h.part(r.Prompt, parts))
+		ready := h.ends(now, h.part(r.Prompt, parts), transit, true)
+		h.read(now, one, h.part(r.Prompt, parts), transit)
 		h.helping++
 		if len(c.reserved) > 0 {
 			h.memory += c.reserved[i]
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -12,7 +13,7 @@
 type Scheduler struct {
 	settings Settings
 	engines  map[namer.Target]*engine
-	// order holds the engines by id, so that the same events lead to the same decisions.
+	// order holds the engines by preference, so that the same events lead to the same decisions.
 	order []*engine
 	queue []*Request
 	// pressure is the reading placed a second on each engine, averaged up to pressureAt.
@@ -54,6 +55,7 @@
 		known := s.engines[one.ID]
 		if known == nil || !known.Started.Equal(one.Started) {
 			known = newEngine()
+			known.preference = s.preference(one.ID)
 		}
 		known.Engine = one
 		fresh[one.ID] = known
@@ -61,10 +63,18 @@
 	}
 	s.engines = fresh
 	slices.SortFunc(s.order, func(a, b *engine) int {
-		return cmp.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(a.ID, b.ID))
 	})
 }
 
+// preference orders engines differently for each scheduler.
+func (s *Scheduler) preference(id namer.Target) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash cannot fail.
+	_, _ = h.Write([]byte(s.settings.Preference + "/" + string(id)))
+	return h.Sum64()
+}
+
 // Submit puts a request into the queue.
 func (s *Scheduler) Submit(r Request) {
 	s.queue = append(s.queue, &r)
