--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -118,8 +118,8 @@
 	lost       map[storer.Kind]bool
 	// failures counts the calls in a row that failed, by the kind of object.
 	failures map[storer.Kind]int
-	leaving    bool
-	stale      bool
+	leaving  bool
+	stale    bool
 }
 
 // messageBuffer lets traffic hand over messages without waiting for the control goroutine.
