Let three readers tell the leader what they read of the store

Ruled out: the leader's own check of the pointer (one call in 3 s). Change: three instances read; the two that follow send the leader what is new to them, and it feeds all others, also a reader whose store is lost. Followers ask the store themselves only if no reader reaches it, and only then targets may have lapsed. Removed objects are remembered with their versions, since readers hear of changes at different times.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -101,6 +101,10 @@
 	rank int
 	// objects are the store's, as far as this instance knows them.
 	objects map[storer.Kind]map[string]storer.Object
+	// removed holds the versions at which objects were removed.
+	removed map[objectKey]int64
+	// unread are changes that this instance has read and has yet to tell the leader.
+	unread []storer.Event
 	// unfed are changes that a leader has yet to send on, fedAt is when it last did.
 	unfed []storer.Event
 	fedAt time.Time
@@ -141,6 +145,7 @@
 		followers: map[*link]struct{}{},
 		early:     map[*link][]inbound{},
 		objects:   map[storer.Kind]map[string]storer.Object{},
+		removed:   map[objectKey]int64{},
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
 		failures:  map[storer.Kind]int{},
@@ -262,7 +267,7 @@
 	now := c.options.Clock.Now()
 	switch m := m.(type) {
 	case changed:
-		c.change(now, m.event)
+		c.observe(now, m.event)
 	case reported:
 		c.report(now, m)
 	case submitted:
@@ -363,14 +368,11 @@
 	if m.err != nil && !down {
 		return
 	}
-	if m.kind == c.options.Format.Targets {
-		// Also after the leader had lost the store: entries that vanish now have not lapsed in an outage.
-		c.catalogue.SetStore(now, !down)
-	}
 	if down == c.lost[m.kind] {
 		return
 	}
 	c.lost[m.kind] = down
+	c.noteOutage(now)
 	if down {
 		c.options.Log.Warn().Str("kind", string(m.kind)).Err(m.err).Msg("coordinator: store lost")
 	} else {
@@ -378,9 +380,10 @@
 	}
 }
 
-func (c *Coordinator) change(now time.Time, e storer.Event) {
+// change applies a change of the store and reports whether it was new.
+func (c *Coordinator) change(now time.Time, e storer.Event) bool {
 	if !c.remember(e) {
-		return
+		return false
 	}
 	if c.convener.Role() == convener.Leading {
 		c.unfed = append(c.unfed, e)
@@ -399,6 +402,7 @@
 			Msg("coordinator: evacuation")
 	}
 	c.stale = true
+	return true
 }
 
 func (c *Coordinator) changeRules(o storer.Object) {
@@ -438,6 +442,7 @@
 
 func (c *Coordinator) upkeep(ctx context.Context) {
 	now := c.options.Clock.Now()
+	c.noteOutage(now)
 	if c.catalogue.Tick(now) {
 		c.stale = true
 	}
@@ -445,6 +450,7 @@
 	c.findSilent(now)
 	c.tellMembers(now)
 	c.followStore(ctx, now)
+	c.tellLeader()
 	c.feed(now)
 	c.logLoad(now)
 	if !c.inheritUntil.IsZero() && now.After(c.inheritUntil) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -346,6 +346,50 @@
 	}
 }
 
+// Guards against instances that miss changes because the leader that feeds them is turned away by the store, while others
+// still read it. Pattern: the store refuses the leader and serves the others (platform_down, nodes leader; core_cut, leader).
+func TestReadersTellTheLeader(t *testing.T) {
+	var instances []instance
+	shared := newStore()
+	putRules(shared, 1)
+	putEngine(shared, "a")
+	// The leader's store has the same objects and can go down alone.
+	own := watched{Keeper: shared.Keeper, calls: &atomic.Int64{}, down: &atomic.Bool{}}
+	instances = append(instances, startInstance(t, own, 0))
+	for i := 1; i < 6; i++ {
+		instances = append(instances, startInstance(t, shared, i, instances[0].options.Self.Peers))
+	}
+	eventually(t, 10*time.Second, "all know all", func() bool {
+		return !slices.ContainsFunc(instances, func(i instance) bool { return !i.knows(1, len(instances)) })
+	})
+	own.down.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	calls := shared.calls.Load()
+	putRules(shared, 2)
+	eventually(t, time.Second, "all know the new rules", func() bool {
+		return !slices.ContainsFunc(instances, func(i instance) bool { return !i.knows(2, len(instances)) })
+	})
+	time.Sleep(2 * time.Second)
+	if made := shared.calls.Load() - calls; made > 40 {
+		t.Errorf("%d calls by 5 instances in 2 s, of which 2 read for all", made)
+	}
+}
+
+// Guards against a target that comes back because a slow reader reports what it was before it left.
+func TestOlderReportsAreIgnored(t *testing.T) {
+	one := New(startInstance(t, newStore(), 0).options)
+	now := time.Unix(1_000, 0)
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	one.change(now, storer.Event{Type: storer.EventPut, Object: entry})
+	gone := entry
+	gone.Version = 5
+	one.change(now, storer.Event{Type: storer.EventDelete, Object: gone})
+	entry.Version = 4
+	if one.change(now, storer.Event{Type: storer.EventPut, Object: entry}) || one.catalogue.Catalogue().Usable("a") {
+		t.Error("a target that has left is back")
+	}
+}
+
 // Guards against work for a target that left while one watch was cut off: a single failed call is no outage in which entries
 // lapse. Pattern: watches that are cut off while engines are emptied (DRAIN on quetzal, trouble-1 and scale-2 with
 // platform_down and scale_in).
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// readers is the number of instances that watch the store; the leader feeds the others, so that the calls do not grow
-	// with the deployment. Any of them can take over without listing first.
-	readers = 8
+	// readers is the number of instances that watch the store, the leader included. They tell the leader what they read, and it
+	// feeds the others, so that the calls do not grow with the deployment and no single instance must reach the store.
+	readers = 3
 	// feedInterval gathers changes before they are sent on: rules may change every 60 ms, and users allow 2 s.
 	feedInterval = 200 * time.Millisecond
 	// aloneTime is how long an instance that is not fed waits for a leader before it watches the store itself.
@@ -76,8 +76,8 @@
 		return
 	}
 	c.leaderLostStore = lost
+	c.noteOutage(now)
 	if c.stopWatching == nil {
-		c.catalogue.SetStore(now, !lost)
 		// It has taken up to a second and a half to notice; the store is asked at once.
 		c.aloneSince = time.Time{}
 	}
@@ -103,15 +103,85 @@
 	if exists && known.Version > e.Object.Version || exists && known.Version == e.Object.Version && e.Type == storer.EventPut {
 		return false
 	}
+	if e.Type == storer.EventPut && c.removed[objectKey{e.Object.Kind, e.Object.Name}] >= e.Object.Version {
+		return false
+	}
 	c.whole = nil
 	if e.Type == storer.EventDelete {
 		delete(objects, e.Object.Name)
+		c.bury(e.Object, known)
 		return exists
 	}
 	objects[e.Object.Name] = e.Object
 	return true
 }
 
+// objectKey names an object of the store.
+type objectKey struct {
+	kind storer.Kind
+	name string
+}
+
+// maxRemoved bounds the removed objects that are remembered; an old one that another reader still reports is then believed
+// until that reader reports its removal, too.
+const maxRemoved = 4096
+
+// bury remembers the version at which an object was removed: readers hear of changes at different times, and an older state
+// that a slow one reports must not bring the object back.
+func (c *Coordinator) bury(gone, known storer.Object) {
+	if len(c.removed) >= maxRemoved {
+		clear(c.removed)
+	}
+	c.removed[objectKey{gone.Kind, gone.Name}] = max(gone.Version, known.Version)
+}
+
+// observe takes a change that this instance has read in the store, and keeps it for the leader.
+func (c *Coordinator) observe(now time.Time, e storer.Event) {
+	if c.change(now, e) && c.leader != nil && c.rank >= 0 && c.rank < readers {
+		c.unread = append(c.unread, e)
+	}
+}
+
+// tellLeader sends the leader what this instance has read.
+func (c *Coordinator) tellLeader() {
+	if len(c.unread) == 0 {
+		return
+	}
+	if c.leader != nil {
+		if m := c.pack(c.unread, false); m != nil {
+			c.leader.notify(methodRead, m)
+		}
+	}
+	c.unread = nil
+}
+
+// allReadersLost reports whether neither this leader nor a follower that reads for it reaches the store.
+func (c *Coordinator) allReadersLost() bool {
+	if !c.storeLost() {
+		return false
+	}
+	for l := range c.followers {
+		if l.place >= 0 && l.place < readers && !l.storeLost {
+			return false
+		}
+	}
+	return true
+}
+
+// noteOutage tells the catalogue whether targets may lapse: they do while no instance reaches the store, and not while it
+// turns this one away only.
+func (c *Coordinator) noteOutage(now time.Time) {
+	outage := c.storeLost()
+	switch c.convener.Role() {
+	case convener.Leading:
+		outage = c.allReadersLost()
+	case convener.Following:
+		outage = c.leaderLostStore && (outage || c.stopWatching == nil)
+	case convener.Searching:
+	}
+	c.catalogue.SetStore(now, !outage)
+}
+
 // feed sends gathered changes to the followers that do not watch the store, and everything to those that are new among
 // them.
 func (c *Coordinator) feed(now time.Time) {
@@ -128,8 +198,8 @@
 	var changes json.RawMessage
 	for l := range c.followers {
 		switch {
-		case l.place < readers:
-			// It watches the store itself; should it lose its place, it needs everything.
+		case l.place < readers && !l.storeLost:
+			// It watches the store itself; should it lose its place or the store, it needs everything.
 			l.fed = false
 		case !l.fed:
 			c.feedAll(l)
@@ -206,7 +276,9 @@
 	for _, e := range events {
 		c.change(now, e)
 	}
-	c.fed = true
+	if c.leader != nil {
+		c.fed = true
+	}
 	return nil
 }
 
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -51,7 +51,8 @@
 			go c.join(ctx, a.Peer)
 		case convener.Ping:
 			c.leader.notify(methodPing, pingMessage{
-				Ready: c.ready(),
+				Ready:     c.ready(),
+				StoreLost: c.storeLost(),
 			})
 		case convener.Leave:
 			c.unfollow()
@@ -305,8 +306,9 @@
 				m.link.ready = p.Ready
 				c.stale = true
 			}
+			m.link.storeLost = p.StoreLost
 			m.link.notify(methodPong, pongMessage{
-				StoreLost: c.storeLost(),
+				StoreLost: c.allReadersLost(),
 			})
 		})
 	case methodSubmit:
@@ -319,6 +321,12 @@
 			c.owners[a.Request.ID] = m.link
 			c.scheduler.Adopt(now, a.Request.request(now), a.Placement, a.Started)
 		})
+	case methodRead:
+		return receive(m, func(o objectsMessage) {
+			if err := c.takeObjects(now, o); err != nil {
+				c.options.Log.Error().Err(err).Str("member", m.link.member.Name).Msg("coordinator: objects of a reader not readable")
+			}
+		})
 	case methodWithdraw:
 		return receive(m, func(p progressMessage) {
 			delete(c.owners, p.Request)
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -21,6 +21,7 @@
 	methodDecision = "decision"
 	methodMembers  = "members"
 	methodObjects  = "objects"
+	methodRead     = "read"
 )
 
 // joinRequest asks to follow.
@@ -41,11 +42,13 @@
 type pingMessage struct {
 	// Ready is set while callers may use the follower.
 	Ready bool `json:"ready"`
+	// StoreLost is set while the store does not answer the follower.
+	StoreLost bool `json:"store_lost,omitempty"`
 }
 
 // pongMessage shows that the leader's control goroutine runs.
 type pongMessage struct {
-	// StoreLost is set while the store does not answer the leader: followers that it feeds then ask the store themselves.
+	// StoreLost is set while the store answers neither the leader nor those that read for it: the others then ask themselves.
 	StoreLost bool `json:"store_lost,omitempty"`
 }
 
