Join a leader once more when the connection to it breaks

Each new leader knows of the work on engines only what its followers tell. Ruled out: silence of the leader (it answered others all the while). Change: a broken connection is opened again before the search begins; a dead process refuses it within a round trip.

--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -200,12 +200,15 @@
 	c.notLeading = 0
 }
 
-// Lost records that the connection to the leader has broken.
+// Lost records that the connection to the leader has broken. The leader may live on behind a connection that was reset: it is
+// joined once more before anybody takes its place.
 func (c *Convener) Lost(now time.Time) []Action {
 	if c.role != Following {
 		return nil
 	}
-	return c.lose(now)
+	c.become(Searching)
+	c.next = now
+	return append([]Action{Leave{}}, c.join(c.leader)...)
 }
 
 // Heard records a message of the leader.
--- a/pkg/convener/model_test.go
+++ b/pkg/convener/model_test.go
@@ -214,6 +214,24 @@
 	}
 }
 
+// Guards against a leader that is replaced although it lives: each change of leader forgets a part of the work on engines.
+// Pattern: connections are reset (reset_conns; quetzal grown trouble-1 had three leaders within 3 s).
+func TestConnectionsReset(t *testing.T) {
+	w := newWorld(8)
+	w.run(3 * time.Second)
+	leader := w.pointer.Leader
+	for _, n := range w.nodes {
+		if n.Role() == Following {
+			w.queue(n, n.Lost(w.now))
+		}
+	}
+	w.run(100 * time.Millisecond)
+	w.assertOneLeader(t)
+	if w.pointer.Leader != leader {
+		t.Errorf("%s leads instead of %s", w.pointer.Leader.Name, leader.Name)
+	}
+}
+
 // Guards against a long time without a leader after all processes were killed at once: the object in the store names a
 // process that is gone, while a new one answers at its address. Pattern: final faults (kill_all, quetzal scale-1: 1 s).
 func TestAllRestarted(t *testing.T) {
