Let few instances ask the store in its readers' place

Ruled out: the readers (nine watches), restarts (30, three lists each). Change: three instances, and three more each second up to nine, ask in the readers' place, and only until one is answered.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,12 +116,17 @@
 	// fed is set once the leader has described the store; leaderLostStore while the leader cannot ask it.
 	fed             bool
 	leaderLostStore bool
+	// leaderLostAt is when that last changed; covered is set while another follower reads in its place.
+	leaderLostAt time.Time
+	covered      bool
 	// stopWatching is nil while the store is not watched; watchWait is how long one watch waits.
 	stopWatching context.CancelFunc
 	watchWait    time.Duration
 	// aloneSince is when the leader was lost; it is zero at the start, so that the store is asked at once.
 	aloneSince time.Time
 	lost       map[storer.Kind]bool
+	// answered holds the kinds for which the store has answered since it is watched.
+	answered map[storer.Kind]bool
 	// failures counts the calls in a row that failed, by the kind of object.
 	failures map[storer.Kind]int
 	leaving  bool
@@ -149,6 +154,7 @@
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
 		failures:  map[storer.Kind]int{},
+		answered:  map[storer.Kind]bool{},
 	}
 	rank, line := turn(o)
 	c.convener = convener.New(o.Convener, c.self(), rank, line)
@@ -363,6 +369,7 @@
 	c.failures[m.kind]++
 	if m.err == nil {
 		c.failures[m.kind] = 0
+		c.answered[m.kind] = true
 	}
 	down := c.failures[m.kind] >= lostAfter
 	if m.err != nil && !down {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -375,6 +375,36 @@
 	}
 }
 
+// Guards against a whole deployment that asks a store that is down for all. Pattern: platform_down of 3 s (quetzal grown
+// scale-1: 7,000 calls a day, 0.07 of its worth).
+func TestFewAskInTheReadersPlace(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	for name, test := range map[string]struct {
+		rank    int
+		after   time.Duration
+		covered bool
+		asks    bool
+	}{
+		"next in line":                 {rank: 4, asks: true},
+		"later in line":                {rank: 7},
+		"later in line, a second on":   {rank: 7, after: 1100 * time.Millisecond, asks: true},
+		"somebody else reads":          {rank: 4, covered: true},
+		"last in line, ten seconds on": {rank: 80, after: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one := New(startInstance(t, newStore(), 0).options)
+			one.convener.Joined(now, convener.Peer{Name: "leader"})
+			one.fed, one.rank, one.covered = true, test.rank, test.covered
+			one.followStore(t.Context(), now)
+			one.takeLeaderStore(now, true)
+			one.followStore(t.Context(), now.Add(test.after))
+			if asks := one.stopWatching != nil; asks != test.asks {
+				t.Errorf("asks the store: %t, want %t", asks, test.asks)
+			}
+		})
+	}
+}
+
 // Guards against a target that comes back because a slow reader reports what it was before it left.
 func TestOlderReportsAreIgnored(t *testing.T) {
 	one := New(startInstance(t, newStore(), 0).options)
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -17,6 +17,11 @@
 	// readers is the number of instances that watch the store, the leader included. They tell the leader what they read, and it
 	// feeds the others, so that the calls do not grow with the deployment and no single instance must reach the store.
 	readers = 3
+	// substituteInterval is how long those that ask in the readers' place have for an answer, which takes milliseconds or the
+	// time of two failed calls.
+	substituteInterval = time.Second
+	// maxSubstitutes bounds them: the store may be down for all, and each call is priced.
+	maxSubstitutes = 9
 	// feedInterval gathers changes before they are sent on: rules may change every 60 ms, and users allow 2 s.
 	feedInterval = 200 * time.Millisecond
 	// aloneTime is how long an instance that is not fed waits for a leader before it watches the store itself.
@@ -35,12 +40,14 @@
 // followStore starts or stops the watches, according to this instance's role and place in line.
 func (c *Coordinator) followStore(ctx context.Context, now time.Time) {
 	following := c.convener.Role() == convener.Following
-	if following && c.rank >= readers && c.fed && !c.leaderLostStore {
+	substitute := c.leaderLostStore && (c.reads() || !c.covered && c.rank < readers+c.substitutes(now))
+	if following && c.rank >= readers && c.fed && !substitute {
 		if c.stopWatching != nil {
 			c.stopWatching()
 			c.stopWatching = nil
 			clear(c.lost)
 			clear(c.failures)
+			clear(c.answered)
 			c.options.Log.Info().Int("rank", c.rank).Msg("coordinator: fed by the leader")
 		}
 		c.aloneSince = now
@@ -76,6 +83,7 @@
 		return
 	}
 	c.leaderLostStore = lost
+	c.leaderLostAt = now
 	c.noteOutage(now)
 	if c.stopWatching == nil {
 		// It has taken up to a second and a half to notice; the store is asked at once.
@@ -137,7 +145,7 @@
 
 // observe takes a change that this instance has read in the store, and keeps it for the leader.
 func (c *Coordinator) observe(now time.Time, e storer.Event) {
-	if c.change(now, e) && c.leader != nil && c.rank >= 0 && c.rank < readers {
+	if c.change(now, e) && c.leader != nil {
 		c.unread = append(c.unread, e)
 	}
 }
@@ -155,28 +163,52 @@
 	c.unread = nil
 }
 
-// allReadersLost reports whether neither this leader nor a follower that reads for it reaches the store.
-func (c *Coordinator) allReadersLost() bool {
-	if !c.storeLost() {
+// reads reports whether this instance asks the store and is answered.
+func (c *Coordinator) reads() bool {
+	if c.stopWatching == nil {
 		return false
 	}
-	for l := range c.followers {
-		if l.place >= 0 && l.place < readers && !l.storeLost {
+	for _, kind := range c.kinds() {
+		if !c.answered[kind] || c.lost[kind] {
 			return false
 		}
 	}
 	return true
 }
 
+// pong says whether this leader and those that read for it reach the store.
+func (c *Coordinator) pong() pongMessage {
+	m := pongMessage{
+		StoreLost: c.storeLost(),
+	}
+	for l := range c.followers {
+		if l.reads && l.place < readers {
+			m.StoreLost = false
+		}
+		if l.reads && l.place >= readers {
+			m.Covered = true
+		}
+	}
+	return m
+}
+
+// substitutes is how many of those that are fed ask the store themselves: the next in line each second, until one of them
+// is answered.
+func (c *Coordinator) substitutes(now time.Time) int {
+	rounds := 1 + int(now.Sub(c.leaderLostAt)/substituteInterval)
+	return min(rounds*readers, maxSubstitutes)
+}
+
 // noteOutage tells the catalogue whether targets may lapse: they do while no instance reaches the store, and not while it
 // turns this one away only.
 func (c *Coordinator) noteOutage(now time.Time) {
 	outage := c.storeLost()
 	switch c.convener.Role() {
 	case convener.Leading:
-		outage = c.allReadersLost()
+		pong := c.pong()
+		outage = pong.StoreLost && !pong.Covered
 	case convener.Following:
-		outage = c.leaderLostStore && (outage || c.stopWatching == nil)
+		outage = c.leaderLostStore && !c.covered && !c.reads()
 	case convener.Searching:
 	}
 	c.catalogue.SetStore(now, !outage)
@@ -198,7 +230,7 @@
 	var changes json.RawMessage
 	for l := range c.followers {
 		switch {
-		case l.place < readers && !l.storeLost:
+		case l.place < readers && l.reads:
 			// It watches the store itself; should it lose its place or the store, it needs everything.
 			l.fed = false
 		case !l.fed:
@@ -284,7 +316,7 @@
 
 // absent returns deletions of the objects that a whole description lacks. Instances that watch the store know better.
 func (c *Coordinator) absent(events []storer.Event) []storer.Event {
-	if c.stopWatching != nil && c.rank < readers {
+	if c.reads() {
 		return nil
 	}
 	var gone []storer.Event
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -34,9 +34,9 @@
 	// place is the follower's in line; fed is set once it has been sent all objects.
 	place int
 	fed   bool
-	// storeLost is set while the follower says that the store does not answer it.
-	storeLost bool
-	seen      time.Time
+	// reads is set while the follower says that the store answers it.
+	reads bool
+	seen  time.Time
 }
 
 // inbound is a message of a peer for the control goroutine.
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -51,8 +51,8 @@
 			go c.join(ctx, a.Peer)
 		case convener.Ping:
 			c.leader.notify(methodPing, pingMessage{
-				Ready:     c.ready(),
-				StoreLost: c.storeLost(),
+				Ready: c.ready(),
+				Reads: c.reads(),
 			})
 		case convener.Leave:
 			c.unfollow()
@@ -209,6 +209,7 @@
 	c.lostLeader = c.leaderName
 	c.fed = false
 	c.leaderLostStore = false
+	c.covered = false
 	c.aloneSince = c.options.Clock.Now()
 	c.stale = true
 	for _, w := range c.waiting {
@@ -306,10 +307,8 @@
 				m.link.ready = p.Ready
 				c.stale = true
 			}
-			m.link.storeLost = p.StoreLost
-			m.link.notify(methodPong, pongMessage{
-				StoreLost: c.allReadersLost(),
-			})
+			m.link.reads = p.Reads
+			m.link.notify(methodPong, c.pong())
 		})
 	case methodSubmit:
 		return receive(m, func(r requestMessage) {
@@ -349,6 +348,7 @@
 	switch m.method {
 	case methodPong:
 		return receive(m, func(p pongMessage) {
+			c.covered = p.Covered
 			c.takeLeaderStore(now, p.StoreLost)
 		})
 	case methodObjects:
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -42,14 +42,16 @@
 type pingMessage struct {
 	// Ready is set while callers may use the follower.
 	Ready bool `json:"ready"`
-	// StoreLost is set while the store does not answer the follower.
-	StoreLost bool `json:"store_lost,omitempty"`
+	// Reads is set while the follower asks the store and is answered.
+	Reads bool `json:"reads,omitempty"`
 }
 
 // pongMessage shows that the leader's control goroutine runs.
 type pongMessage struct {
-	// StoreLost is set while the store answers neither the leader nor those that read for it: the others then ask themselves.
+	// StoreLost is set while the store answers neither the leader nor the first in line, which read for it.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// Covered is set while another follower reads in their place.
+	Covered bool `json:"covered,omitempty"`
 }
 
 // objectsMessage carries objects of the store to followers that do not watch it.
