Count what one end of an engine breaks as one failure, and announce new engines before they are used

Eight streams on an engine failed at one moment, each doubling the time for which it is avoided, up to 8 s. When engines came back at 25 s, the leader placed 31 requests on them before the followers that it feeds knew them; these sent nothing, and reported failures, with the same effect: three of nine engines stayed avoided from 24 s to 33 s while 40 notes waited. Change: a failure counts only if the request was placed after the last suspicion began; a withdrawn engine is no failure; a leader uses an engine once those that it feeds know it (0.3 s). TestOneEndIsOneFailure fails before (8 s).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,6 +105,9 @@
 	removed map[objectKey]int64
 	// unread are changes that this instance has read and has yet to tell the leader.
 	unread []storer.Event
+	// listed is when targets first appeared; unannounced is set while some are too new to be used by all.
+	listed      map[namer.Target]time.Time
+	unannounced bool
 	// unfed are changes that a leader has yet to send on, fedAt is when it last did.
 	unfed []storer.Event
 	fedAt time.Time
@@ -151,6 +154,7 @@
 		early:     map[*link][]inbound{},
 		objects:   map[storer.Kind]map[string]storer.Object{},
 		removed:   map[objectKey]int64{},
+		listed:    map[namer.Target]time.Time{},
 		rank:      -1,
 		lost:      map[storer.Kind]bool{},
 		failures:  map[storer.Kind]int{},
@@ -433,6 +437,7 @@
 	id := namer.Target(o.Name)
 	if !put {
 		c.catalogue.Remove(now, id)
+		delete(c.listed, id)
 		c.options.Log.Info().Str("target", o.Name).Int64("version", o.Version).Msg("coordinator: target removed")
 		return
 	}
@@ -442,6 +447,9 @@
 		c.catalogue.Remove(now, id)
 		return
 	}
+	if known := c.catalogue.Target(id); known == nil || !known.Started.Equal(target.Started) {
+		c.listed[id] = now
+	}
 	c.catalogue.Put(target)
 	c.options.Log.Info().Str("target", o.Name).Str("address", target.Address).Str("service", string(target.Service)).
 		Bool("leaving", target.Leaving).Int64("version", o.Version).Msg("coordinator: target listed")
@@ -450,7 +458,7 @@
 func (c *Coordinator) upkeep(ctx context.Context) {
 	now := c.options.Clock.Now()
 	c.noteOutage(now)
-	if c.catalogue.Tick(now) {
+	if c.catalogue.Tick(now) || c.unannounced {
 		c.stale = true
 	}
 	c.act(ctx, c.convener.Tick(now))
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -100,7 +100,11 @@
 }
 
 func putRules(store watched, version int64) {
-	store.Put(kindRules, "main", matcher.Rules{
+	store.Put(kindRules, "main", rulesOf(version))
+}
+
+func rulesOf(version int64) matcher.Rules {
+	return matcher.Rules{
 		Version: version,
 		Services: []matcher.Service{{
 			Name: "scribe",
@@ -112,7 +116,7 @@
 				StepsPerPass: 40,
 			},
 		}},
-	})
+	}
 }
 
 func putEngine(store watched, name string) {
@@ -451,6 +455,41 @@
 	}
 }
 
+// Guards against work for engines that the followers do not know yet: they send nothing there, and the request starts again.
+// Pattern: engines come back while others leave (cold_return, release; harborline trouble-1 at 25 s: 31 requests).
+func TestNewEngineIsAnnouncedFirst(t *testing.T) {
+	clock := &manualClock{System: timer.System{}, now: time.Unix(1_000, 0)}
+	o := startInstance(t, newStore(), 0).options
+	o.Clock = clock
+	one := New(o)
+	one.convener.Written(clock.now, 1)
+	one.members = make([]Member, 8)
+	rules, _ := json.Marshal(rulesOf(1))
+	one.change(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: rules}})
+	entry, _ := json.Marshal(cataloguer.Target{ID: "a", Service: "scribe", Slots: 16})
+	one.change(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: 2, Value: entry}})
+	one.publish()
+	if got := one.scheduler.Load(clock.now).Engines; got != 0 {
+		t.Errorf("%d engines before the followers know them", got)
+	}
+	clock.now = clock.now.Add(announceTime)
+	one.publish()
+	if got := one.scheduler.Load(clock.now).Engines; got != 1 {
+		t.Errorf("%d engines once the followers know them", got)
+	}
+}
+
+// manualClock stands still until a test moves it.
+type manualClock struct {
+	timer.System
+	now time.Time
+}
+
+// Now returns the time that the test has set.
+func (m *manualClock) Now() time.Time {
+	return m.now
+}
+
 // Guards against instances that each take the whole of what they share. Pattern: all lose power and start at the same
 // moment, without a leader, with cold engines (final faults; BUDGET and FAILBACK on grown quetzal days).
 func TestInstancesWithoutALeaderTakeTheirPart(t *testing.T) {
--- a/internal/coordinator/publish.go
+++ b/internal/coordinator/publish.go
@@ -22,6 +22,8 @@
 	if c.rules == nil {
 		return
 	}
+	now := c.options.Clock.Now()
+	c.unannounced = false
 	var engines []scheduler.Engine
 	var plain []balancer.Target
 	for _, t := range view.Catalogue.Targets {
@@ -33,6 +35,11 @@
 			plain = append(plain, plainTarget(&t))
 			continue
 		}
+		if c.convener.Role() == convener.Leading && c.large() && now.Sub(c.listed[t.ID]) < announceTime {
+			// Followers that are fed do not know it yet, and would send nothing there.
+			c.unannounced = true
+			continue
+		}
 		engine := engineOf(&t, service)
 		if c.alone() {
 			// The others may be alone too, and nobody counts for all.
@@ -44,6 +51,10 @@
 	c.balancer.SetTargets(plain)
 }
 
+// announceTime is how long after the leader a follower that it feeds knows a new target: the feeding's interval and two rounds
+// of upkeep.
+const announceTime = feedInterval + 2*upkeepInterval
+
 // assumedInstances is the size of the deployment before a leader has named its members. All start at the same moment after
 // a loss of power, and each must keep to its part of what they share.
 const assumedInstances = 64
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -181,7 +181,8 @@
 	outcome := scheduler.Finished
 	switch {
 	case result == verdictAnswer:
-	case ctx.Err() != nil || errors.Is(err, errCaller):
+	case ctx.Err() != nil || errors.Is(err, errCaller) || errors.Is(err, errWithdrawn):
+		// A withdrawn engine has not failed: this instance may know less of it, or more, than the one that placed the request.
 		outcome = scheduler.Cancelled
 	case result == verdictNotRun:
 		outcome = scheduler.Rejected
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -67,6 +67,15 @@
 	delete(c.missing, t.ID)
 }
 
+// Target returns what is known of a target, or nil.
+func (c *Cataloguer) Target(id namer.Target) *Target {
+	t, known := c.targets[id]
+	if !known {
+		return nil
+	}
+	return &t
+}
+
 // Remove takes a target out. Entries lapse during an outage of the store, so that one that vanishes just after it is kept
 // until live targets have had time to return.
 func (c *Cataloguer) Remove(now time.Time, id namer.Target) {
--- a/pkg/scheduler/decide.go
+++ b/pkg/scheduler/decide.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		one.judged = true
-		s.suspect(now, one.engine)
+		s.suspect(now, one.engine, one.placed)
 	}
 }
 
--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -28,6 +28,8 @@
 	// helping counts the prompts that this engine reads a part of for another.
 	helping  int
 	failures int
+	// suspected is when the last suspicion began.
+	suspected time.Time
 	// avoidUntil ends the suspicion after failures.
 	avoidUntil time.Time
 	// coldSince begins the window in which requests to a cold engine are counted.
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -305,6 +305,7 @@
 		helpers:  c.helpers,
 		reserved: c.reserved,
 		tokens:   r.planned(),
+		placed:   now,
 	}
 	s.running[r.ID] = one
 	parts := len(c.helpers) + 1
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	reserved []int
 	tokens   int
 	started  bool
+	placed   time.Time
 	expected time.Time
 	// judged is set once the engine has been suspected for this request.
 	judged bool
@@ -219,17 +220,20 @@
 		guilty = other
 	}
 	switch {
-	case outcome == Failed && !one.judged:
-		s.suspect(now, guilty)
-	case outcome == Rejected && !one.judged:
-		s.suspect(now, guilty)
+	case (outcome == Failed || outcome == Rejected) && !one.judged:
+		s.suspect(now, guilty, one.placed)
 	case outcome == Finished:
 		one.engine.failures = 0
 	}
 }
 
-// suspect avoids an engine for a while.
-func (s *Scheduler) suspect(now time.Time, e *engine) {
+// suspect avoids an engine for a while, after a request that was placed at a time has failed there. Requests that were placed
+// before the last suspicion fail for the same cause: an engine that ends takes all of them along.
+func (s *Scheduler) suspect(now time.Time, e *engine, placed time.Time) {
+	if placed.Before(e.suspected) {
+		return
+	}
+	e.suspected = now
 	pause := s.settings.MaxSuspicion
 	if e.failures < 5 {
 		pause = min(pause, s.settings.Suspicion<<e.failures)
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// Guards against an engine that is avoided for many seconds because all that ran on it failed at one moment. Pattern: a data
+// centre's engines are down for 2 s and come back (cold_return; harborline trouble-1: 8 s, while the rest had no room).
+func TestOneEndIsOneFailure(t *testing.T) {
+	s := newFixture(1)
+	for i := range 8 {
+		mustPlace(t, s, start.Add(time.Duration(i)*100*time.Millisecond), statement(fmt.Sprint(i), start))
+	}
+	now := start.Add(time.Second)
+	for i := range 8 {
+		s.Ended(now.Add(time.Duration(i)*time.Millisecond), namer.Request(fmt.Sprint(i)), Failed, "")
+	}
+	if pause := s.order[0].avoidUntil.Sub(now); pause > s.settings.Suspicion+10*time.Millisecond {
+		t.Errorf("the engine is avoided for %s", pause)
+	}
+	again := now.Add(s.settings.Suspicion + 10*time.Millisecond)
+	mustPlace(t, s, again, statement("again", again))
+	s.Ended(again, "again", Failed, "")
+	if pause := s.order[0].avoidUntil.Sub(again); pause != 2*s.settings.Suspicion {
+		t.Errorf("after another failure the engine is avoided for %s", pause)
+	}
+}
+
 // Guards against instances that all begin with the same engine while each of them places alone. Pattern: all processes are
 // killed at once (final faults; quetzal scale-1: the first engine by name got the work of seven instances).
 func TestInstancesAloneBeginWithDifferentEngines(t *testing.T) {
