--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -84,8 +84,13 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+	testscript.Run(t, scenarios("testdata"))
+}
+
+// scenarios runs the scripts of a directory.
+func scenarios(directory string) testscript.Params {
+	return testscript.Params{
+		Dir: directory,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports":    ports,
 			"waithttp": waitHTTP,
@@ -101,7 +106,7 @@
 		},
 		RequireExplicitExec: true,
 		Setup:               setUp,
-	})
+	}
 }
 
 // Ports are taken from below the range of outgoing connections, which would take them between choice and use.
