--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -103,8 +103,8 @@
 	objects map[storer.Kind]map[string]storer.Object
 	// removed holds the versions at which objects were removed.
 	removed map[objectKey]int64
-	// unread are changes that this instance has read and has yet to tell the leader.
-	unread []storer.Event
+	// unreported are changes that this instance has read and has yet to tell the leader.
+	unreported []storer.Event
 	// listed is when targets first appeared; unannounced is set while some are too new to be used by all.
 	listed      map[namer.Target]time.Time
 	unannounced bool
