Let eight instances read the store again

The leader noticed its loss at 17.2 s. Ruled out: the reports of readers (none was answered), the instance's own check (it stands before the send). Change: eight instances read, so that deployments of that size read for themselves, and telling the leader stays. TestSmallDeploymentsReadThemselves fails before.

--- a/internal/coordinator/reader.go
+++ b/internal/coordinator/reader.go
@@ -10,8 +10,11 @@
 
 const (
 	// readers is the number of instances that watch the store, the leader included. They tell the leader what they read, and it
-	// feeds the others, so that the calls do not grow with the deployment and no single instance must reach the store.
-	readers = 3
+	// feeds the others, so that the calls do not grow with the deployment. The store may turn away half of the instances at a
+	// time, silently: with three readers all of them were blind for 3 s while engines left (DRAIN).
+	readers = 8
+	// substituteStep is how many more instances ask in the readers' place in each round.
+	substituteStep = 3
 	// substituteInterval is how long those that ask in the readers' place have for an answer, which takes milliseconds or the
 	// time of two failed calls.
 	substituteInterval = time.Second
@@ -139,7 +142,7 @@
 // is answered.
 func (c *Coordinator) substitutes(now time.Time) int {
 	rounds := 1 + int(now.Sub(c.leaderLostAt)/substituteInterval)
-	return min(rounds*readers, maxSubstitutes)
+	return min(rounds*substituteStep, maxSubstitutes)
 }
 
 // noteOutage tells the catalogue whether targets may lapse: they do while no instance reaches the store, and not while it
