--- a/internal/coordinator/reader.go
+++ b/internal/coordinator/reader.go
@@ -22,7 +22,8 @@
 	maxSubstitutes = 9
 	// aloneTime is how long an instance that is not fed waits for a leader before it watches the store itself.
 	aloneTime = 700 * time.Millisecond
-	// feederWait is how long the watches of a leader wait that feeds others: its loss of the store is theirs.
+	// feederWait is how long the watches of a leader wait that feeds others: it notices an outage before entries that lapsed in
+	// it are reported as removed.
 	feederWait = 600 * time.Millisecond
 )
 
