--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,8 +37,6 @@
 	Body   []byte
 	// HasBody is set when the request has a body, even an empty one.
 	HasBody bool
-	// HeaderTimeout is how long the header of the answer may take; 0 leaves it to the context.
-	HeaderTimeout time.Duration
 	// KeepSilent requests are not given up when their connection stops answering probes: they may not be repeated.
 	KeepSilent bool
 }
@@ -99,7 +97,6 @@
 	a.stop = context.AfterFunc(ctx, func() {
 		_ = conn.Close()
 	})
-	a.SetReadTimeout(o.HeaderTimeout)
 	head := o.head()
 	// A target may answer before it has read a long body, so that writing must not hold up reading.
 	go func() {
@@ -165,17 +162,6 @@
 
 var errInformational = fmt.Errorf("more than %d informational answers", maxInformational)
 
-// SetReadTimeout bounds the time until the next bytes of the answer; 0 leaves it to the context. Connections may go silent for
-// good without being closed.
-func (a *Answer) SetReadTimeout(timeout time.Duration) {
-	until := time.Time{}
-	if timeout > 0 {
-		until = time.Now().Add(timeout)
-	}
-	// The error says that the connection is closed, which the next read reports.
-	_ = a.conn.SetReadDeadline(until)
-}
-
 // Close closes the connection; a request that the target still works on is dropped there.
 func (a *Answer) Close() {
 	a.stop()
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -36,8 +36,6 @@
 	id      namer.Target
 	address string
 	helpers string
-	// timeout is how long the first bytes of the answer may take; 0 means until the deadline.
-	timeout time.Duration
 }
 
 // outgoing builds what a target receives.
@@ -64,15 +62,14 @@
 		add(names.Helpers, d.helpers)
 	}
 	return forwarder.Outgoing{
-		Address:       d.address,
-		Method:        r.method,
-		URI:           r.uri,
-		Host:          r.host,
-		Header:        header,
-		Body:          r.body,
-		HasBody:       r.hasBody,
-		HeaderTimeout: d.timeout,
-		KeepSilent:    r.match.Route.Kind == matcher.NonIdempotent,
+		Address:    d.address,
+		Method:     r.method,
+		URI:        r.uri,
+		Host:       r.host,
+		Header:     header,
+		Body:       r.body,
+		HasBody:    r.hasBody,
+		KeepSilent: r.match.Route.Kind == matcher.NonIdempotent,
 	}
 }
 
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -333,3 +333,41 @@
 		t.Errorf("got %q, %v", got.body, got.err)
 	}
 }
+
+// pausing is an engine that writes two events, stays silent for longer than another engine would be asked, and goes on.
+func pausing(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	answer(w, r, "")
+	for id := 1; id <= lastEvent; id++ {
+		if id == 3 {
+			time.Sleep(minPauseTimeout + 500*time.Millisecond)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// Guards against a stream that is cut because its engine is silent although nothing can take its place: the engine goes on
+// after the pause. Pattern: engines of a release leave while rules change (release beside config_change), so that engines that
+// read for them stall, and an instance among 83 has two further sends in ten seconds.
+func TestSilentStreamIsKeptWhileNothingReplacesIt(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		budget  BudgetSettings
+		engines int
+	}{
+		{name: "budget spent", budget: BudgetSettings{Window: 10 * time.Second}, engines: 2},
+		{name: "no other engine", budget: BudgetSettings{Window: 10 * time.Second, Extra: 500}, engines: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			engines := []http.HandlerFunc{pausing, pausing}[:c.engines]
+			f := newFixture(t, "engine", io.Discard, engines...)
+			f.server.options.Budget = NewBudget(c.budget)
+			got := f.ask(context.Background(), "POST", "/stream/x")
+			assertStatus(t, got, http.StatusOK)
+			if got.body != events() {
+				t.Errorf("got %q", got.body)
+			}
+		})
+	}
+}
