Work out a leader's reach of the store once a round of upkeep

Cause: each ping of a follower went over all followers, so that a leader's work grew with the square of the instances: four pings a second each, 330 instances: 435,000 steps a second. The answer changes with the rounds of upkeep (50 ms), where it is worked out already for the catalogue.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,8 @@
 	// toldAt is when the members were last sent; untold is set if they may have changed since.
 	toldAt time.Time
 	untold bool
+	// reach is what a leader answers to pings, as of the last round of upkeep.
+	reach pongMessage
 	// fed is set once the leader has described the store; leaderLostStore while the leader cannot ask it.
 	fed             bool
 	leaderLostStore bool
--- a/internal/coordinator/reader.go
+++ b/internal/coordinator/reader.go
@@ -123,8 +123,9 @@
 	return true
 }
 
-// pong says whether this leader and those that read for it reach the store.
-func (c *Coordinator) pong() pongMessage {
+// storeReach says whether this leader and those that read for it reach the store. It goes over all followers, so it is worked
+// out once in each round of upkeep and not for each ping: 330 instances send 1,300 pings a second.
+func (c *Coordinator) storeReach() pongMessage {
 	m := pongMessage{
 		StoreLost: c.storeLost(),
 	}
@@ -152,8 +153,8 @@
 	outage := c.storeLost()
 	switch c.convener.Role() {
 	case convener.Leading:
-		pong := c.pong()
-		outage = pong.StoreLost && !pong.Covered
+		c.reach = c.storeReach()
+		outage = c.reach.StoreLost && !c.reach.Covered
 	case convener.Following:
 		outage = c.leaderLostStore && !c.covered && !c.reads()
 	case convener.Searching:
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -308,7 +308,7 @@
 				c.stale = true
 			}
 			m.link.reads = p.Reads
-			m.link.notify(methodPong, c.pong())
+			m.link.notify(methodPong, c.reach)
 		})
 	case methodSubmit:
 		return receive(m, func(r requestMessage) {
