--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -189,7 +189,9 @@
 			Writer: i.lines,
 		},
 	}
-	plain, err := platform.NewStore(s.Platform.Address, s.Platform.Timeout)
+	plain, err := platform.NewStore(s.Platform.Address, s.Platform.Timeout, func(kind storer.Kind, cause error) {
+		i.logger.Warn().Str("kind", string(kind)).Err(cause).Msg("gateway: object of the store passed over")
+	})
 	if err != nil {
 		return err
 	}
