Gather short streams on the fullest engines

A stream now joins the engine with the most streams on which it tightens no bound and begins within half of its target latency; an engine counts as open to longer parts by the shortest pause that its streams tolerate, not by having any stream with a bound.

--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -21,14 +21,18 @@
 	MaxParts int
 	// MinPart is the least reading time of one part: shorter ones cost more steps than they save.
 	MinPart time.Duration
-	// PartCost and SharedCost are what one more part costs, and one beside streams that tolerate short pauses only.
+	// PartCost and SharedCost are what one more part costs, and one beside streams that tolerate pauses below ShortPause only.
 	PartCost   time.Duration
 	SharedCost time.Duration
+	ShortPause time.Duration
 	// ReserveCost is what reserving memory costs: a round trip before the prompt is sent.
 	ReserveCost time.Duration
-	// OpenCost is what it costs to put a stream that tolerates short pauses only on an engine without such streams: engines
-	// without them read long prompts in larger parts.
+	// OpenCost is what it costs to put a stream on an engine whose streams all tolerate longer pauses: such engines read long
+	// prompts in larger parts.
 	OpenCost time.Duration
+	// GatherShare is the share of the target latency within which the first event must be expected on the engine with the most
+	// streams for a stream to join them.
+	GatherShare float64
 	// MemoryShare is the share of an engine's memory that is planned with; lengths of answers are estimates.
 	MemoryShare float64
 	// Suspicion is how long an engine is avoided after a failure; it doubles with each further one.
@@ -58,14 +62,17 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		PauseMargin:  15 * time.Millisecond,
-		Transit:      6 * time.Millisecond,
-		MaxParts:     16,
-		MinPart:      40 * time.Millisecond,
-		PartCost:     2 * time.Millisecond,
-		SharedCost:   30 * time.Millisecond,
+		PauseMargin: 15 * time.Millisecond,
+		Transit:     6 * time.Millisecond,
+		MaxParts:    16,
+		MinPart:     40 * time.Millisecond,
+		PartCost:    2 * time.Millisecond,
+		SharedCost:  30 * time.Millisecond,
+		// Between the 250 ms that quick notes tolerate and the 600 ms of histories.
+		ShortPause:   400 * time.Millisecond,
 		ReserveCost:  10 * time.Millisecond,
 		OpenCost:     120 * time.Millisecond,
+		GatherShare:  0.5,
 		MemoryShare:  0.97,
 		Suspicion:    500 * time.Millisecond,
 		MaxSuspicion: 8 * time.Second,
--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -252,16 +252,20 @@
 	return sum
 }
 
-// sensitive reports whether the engine has streams that tolerate short pauses only.
-func (e *engine) sensitive() bool {
+// tolerance is the shortest pause that a stream on the engine tolerates; it is noBound without such streams.
+func (e *engine) tolerance() time.Duration {
+	least := noBound
 	for _, r := range e.runs {
 		if r.request.Pause > 0 && !r.spoiled {
-			return true
+			least = min(least, r.request.Pause)
 		}
 	}
-	return false
+	return least
 }
 
+// noBound is longer than any pause.
+const noBound = time.Duration(math.MaxInt64)
+
 // free is the memory that is not planned.
 func (e *engine) free(share float64) int {
 	return int(share*float64(e.Speed.MemoryTokens)) - e.memory
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -113,12 +113,15 @@
 	return cmp.Or(cmp.Compare(o.harm, other.harm), cmp.Compare(o.cost, other.cost))
 }
 
-// chooseOne finds the cheapest engine for a whole prompt.
+// chooseOne finds an engine for a whole prompt: the fullest one on which the stream tightens no bound and begins early, or else the
+// cheapest one.
 func (s *Scheduler) chooseOne(now time.Time, r *Request, options []option) (choice, bool) {
-	best := option{}
-	for _, o := range options {
-		if o.holds && (best.engine == nil || o.compare(best) < 0) {
-			best = o
+	best := s.fullest(now, r, options)
+	if best.engine == nil {
+		for _, o := range options {
+			if o.holds && (best.engine == nil || o.compare(best) < 0) {
+				best = o
+			}
 		}
 	}
 	if best.engine == nil {
@@ -131,6 +134,23 @@
 	return c, s.worthwhile(now, r, c.cost, best.harm)
 }
 
+// fullest returns the option with the most streams among those on which another stream tolerates no longer pauses than this one. A
+// stream that tolerates short pauses bounds what its engine reads in a pass; kept together, such streams leave other engines free for
+// long prompts.
+func (s *Scheduler) fullest(now time.Time, r *Request, options []option) option {
+	best := option{}
+	limit := time.Duration(s.settings.GatherShare*float64(r.Latency)) - now.Sub(r.Arrived)
+	for _, o := range options {
+		if !o.holds || o.harm > 0 || o.cost > limit || r.Pause == 0 || o.engine.tolerance() > r.Pause {
+			continue
+		}
+		if best.engine == nil || len(o.engine.runs) > len(best.engine.runs) {
+			best = o
+		}
+	}
+	return best
+}
+
 // choose finds the cheapest engines for a number of parts: those that end first, with what it costs to disturb others.
 func (s *Scheduler) choose(now time.Time, r *Request, candidates []*engine, parts, most int, urgent bool) (choice, bool) {
 	options := s.options[:0]
@@ -145,7 +165,7 @@
 		}
 		options = append(options, option{
 			engine: e,
-			cost:   e.ends(now, work, s.settings.Transit, parts > 1).Sub(now) + s.disturbance(e, parts),
+			cost:   e.ends(now, work, s.settings.Transit, parts > 1).Sub(now) + s.disturbance(r, e, parts),
 			harm:   harm,
 			holds:  len(e.runs) < e.Slots && e.free(s.settings.MemoryShare) >= r.planned(),
 		})
@@ -257,14 +277,14 @@
 	return r.Prompt + outputWeight*r.Output
 }
 
-// disturbance is the cost of reading beside streams that tolerate short pauses only, or of putting such a stream on an
-// engine without them.
-func (s *Scheduler) disturbance(e *engine, parts int) time.Duration {
-	sensitive := e.sensitive()
+// disturbance is the cost of reading beside streams that tolerate short pauses only, or of putting a stream on an engine whose streams
+// all tolerate longer ones.
+func (s *Scheduler) disturbance(r *Request, e *engine, parts int) time.Duration {
+	tolerance := e.tolerance()
 	switch {
-	case parts > 1 && sensitive:
+	case parts > 1 && tolerance < s.settings.ShortPause:
 		return s.settings.SharedCost
-	case parts == 1 && !sensitive:
+	case parts == 1 && tolerance > r.Pause:
 		return s.settings.OpenCost
 	default:
 		return 0
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -498,3 +498,57 @@
 		s.Decide(start.Add(250 * time.Millisecond))
 	}
 }
+
+// Guards against short streams that are spread over all engines, each of which then bounds what its engine reads in a pass: a long
+// prompt that comes afterwards must find engines without them. Pattern: few notes beside many reviews, after a burst of notes has
+// ended (harborline scale-1, 2 to 12 s: 30 notes stood on 12 of 14 engines).
+func TestShortStreamsGather(t *testing.T) {
+	const (
+		engines  = 14
+		burst    = 140
+		notes    = burst + 60
+		duration = 4 * time.Second
+	)
+	s := newFixture(engines)
+	type stream struct {
+		id     namer.Request
+		engine namer.Target
+		ends   time.Time
+	}
+	var running []stream
+	now := start
+	for i := range notes {
+		gap := 15 * time.Millisecond
+		if i >= burst {
+			gap = 100 * time.Millisecond
+		}
+		now = now.Add(gap)
+		for len(running) > 0 && !running[0].ends.After(now) {
+			s.Ended(now, running[0].id, Finished, "")
+			running = running[1:]
+		}
+		id := namer.Request(fmt.Sprint("note-", i))
+		p := mustPlace(t, s, now, statement(string(id), now))
+		if p.FirstEvent > 150*time.Millisecond {
+			t.Errorf("%s waits %v for its first event, more than half of its target", id, p.FirstEvent)
+		}
+		s.Started(now.Add(p.FirstEvent), id)
+		running = append(running, stream{
+			id:     id,
+			engine: p.Engine,
+			ends:   now.Add(duration),
+		})
+	}
+	used := map[namer.Target]int{}
+	for _, r := range running {
+		used[r.engine]++
+	}
+	// Reviews ask for more than half of what the engines can read in this pattern.
+	if len(used) > engines/2 {
+		t.Errorf("%d streams stand on %d engines of 16 slots: %v", len(running), len(used), used)
+	}
+	p := mustPlace(t, s, now, review("review", now, 133_000))
+	if used[p.Engine] > 0 || p.FirstEvent > 400*time.Millisecond {
+		t.Errorf("the review reads beside %d short streams and begins after %v", used[p.Engine], p.FirstEvent)
+	}
+}
