Keep the watchdog off the state of the attempt that it watches

Found when reading the change: a refused question for another engine composed a refusal from the attempt's counters and last error while the attempt was writing them. The watchdog now asks only, and what it reads does not change.

--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -120,8 +120,9 @@
 // errCaller means that the caller no longer reads.
 var errCaller = errors.New("the caller does not read")
 
-// place asks for an engine; the excluded ones have failed the request.
-func (t *transfer) place(ctx context.Context, excluded []namer.Target, retried bool) (assignment, *refusal) {
+// ask has a request placed; the excluded engines have failed it. The watchdog calls it beside the attempt, so that it reads only what
+// does not change.
+func (t *transfer) ask(ctx context.Context, excluded []namer.Target, retried bool) (namer.Request, scheduler.Decision, error) {
 	r := t.request
 	id := r.id
 	if n := t.assigned.Add(1); n > 1 {
@@ -145,6 +146,13 @@
 		Retried:  retried,
 		Returned: r.returned(),
 	})
+	return id, decision, err
+}
+
+// place asks for an engine and returns the refusal of a request that gets none.
+func (t *transfer) place(ctx context.Context, excluded []namer.Target, retried bool) (assignment, *refusal) {
+	r := t.request
+	id, decision, err := t.ask(ctx, excluded, retried)
 	if err != nil {
 		return assignment{}, t.server.ending(ctx, r, err)
 	}
--- a/internal/receiver/watchdog.go
+++ b/internal/receiver/watchdog.go
@@ -31,7 +31,7 @@
 	closed      bool
 }
 
-// watch starts a watchdog that bites unless the first event comes within a time. The attempt must end with close.
+// watch starts a watchdog that asks for another engine unless the first event comes within a time. The attempt must end with close.
 func (t *transfer) watch(ctx context.Context, abandon context.CancelFunc, excluded []namer.Target, first time.Duration) *watchdog {
 	w := &watchdog{
 		transfer: t,
@@ -72,23 +72,27 @@
 	w.mu.Lock()
 	w.stopSeeking = stop
 	w.mu.Unlock()
-	next, refused := w.transfer.place(seeking, w.excluded, true)
+	id, decision, err := w.transfer.ask(seeking, w.excluded, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopSeeking = nil
 	resumed := seeking.Err() != nil
-	switch {
-	case refused != nil:
+	placed, found := decision.(scheduler.Place)
+	if err != nil || !found {
 		// A refusal is final; the silent engine is the only one left.
 		return resumed
-	case resumed || w.closed:
-		w.transfer.server.options.Control.Ended(next.id, scheduler.Cancelled, "")
+	}
+	next := &assignment{
+		id:        id,
+		placement: placed.Placement,
+	}
+	if resumed || w.closed {
+		w.transfer.discard(next)
 		return true
-	default:
-		w.successor = &next
-		w.abandon()
-		return false
 	}
+	w.successor = next
+	w.abandon()
+	return false
 }
 
 func (w *watchdog) deadline() time.Time {
