Start the silence of streamer tests at the last expected token

Cause: TestStream/ended_early counted 0 tokens of 1 once, because its context ended 150 ms after the start and a stall of the machine was longer than that. A server that answers after 160 ms gives the same failure text for four of the six cases (seen). A reset by unread request bytes is ruled out: the client sends its request in one piece (seen).

Change: only the context of a silent stream ends, 150 ms after its last expected token. Case no_engine keeps its port bound without listening on it, where another process could take the closed port before. All checks of tokens, errors and time stay.

--- a/internal/streamer/client_test.go
+++ b/internal/streamer/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -61,46 +62,76 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 }
 
-// Guards against reporting a broken stream as complete or an unsent request as sent, and against blocking past the context's
-// deadline if the engine goes silent before or after the header.
-func TestStream(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address at which connections are refused. Its port stays bound until the end of the test, so that no
+// other process can listen on it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(socket)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = closed.Close()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
+// streamContext returns the context of a stream and the function that receives its tokens. Only the context of a silent stream
+// ends: streamTimeout after the last expected token, since the machine that runs the test may delay the tokens themselves.
+func streamContext(t *testing.T, silent bool, wantTokens int) (context.Context, func(Token) error, *int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	if silent && wantTokens == 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), streamTimeout)
+	}
+	t.Cleanup(cancel)
+	tokens := 0
+	receive := func(Token) error {
+		tokens++
+		if silent && tokens == wantTokens {
+			time.AfterFunc(streamTimeout, cancel)
+		}
+		return nil
+	}
+	return ctx, receive, &tokens
+}
+
+// Guards against reporting a broken stream as complete or an unsent request as sent, and against blocking past the end of the
+// context if the engine goes silent before or after the header.
+func TestStream(t *testing.T) {
 	oneToken := chunk("data: {\"request_id\":\"r\",\"token_index\":0,\"text\":\"a\"}\n\n")
 	done := chunk("data: [DONE]\n\n") + lastChunk
 	tests := []struct {
 		name       string
 		address    string
+		silent     bool
 		wantTokens int
 		wantErr    bool
 		wantSent   bool
 		wantCode   string
 	}{
-		{"whole", startServer(t, streamHeader+oneToken+done, false), 1, false, false, ""},
-		{"ended early", startServer(t, streamHeader+oneToken+lastChunk, false), 1, true, true, ""},
-		{"silent before the header", startServer(t, "", true), 0, true, true, ""},
-		{"silent after a token", startServer(t, streamHeader+oneToken, true), 1, true, true, ""},
-		{"refused", startServer(t, refusal, false), 0, true, true, CodeStaleEpoch},
-		{"no engine", closed.Addr().String(), 0, true, false, ""},
+		{"whole", startServer(t, streamHeader+oneToken+done, false), false, 1, false, false, ""},
+		{"ended early", startServer(t, streamHeader+oneToken+lastChunk, false), false, 1, true, true, ""},
+		{"silent before the header", startServer(t, "", true), true, 0, true, true, ""},
+		{"silent after a token", startServer(t, streamHeader+oneToken, true), true, 1, true, true, ""},
+		{"refused", startServer(t, refusal, false), false, 0, true, true, CodeStaleEpoch},
+		{"no engine", refusingAddress(t), false, 0, true, false, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
-			defer cancel()
-			tokens := 0
+			ctx, receive, tokens := streamContext(t, tt.silent, tt.wantTokens)
 			started := time.Now()
-			err := newTestClient(t).Stream(ctx, tt.address, Completion{}, func(Token) error {
-				tokens++
-				return nil
-			})
+			err := newTestClient(t).Stream(ctx, tt.address, Completion{}, receive)
 			if took := time.Since(started); took > 10*streamTimeout {
 				t.Errorf("took %v, want Stream to return when its context ends", took)
 			}
-			if tokens != tt.wantTokens {
-				t.Errorf("got %d tokens, want %d", tokens, tt.wantTokens)
+			if *tokens != tt.wantTokens {
+				t.Errorf("got %d tokens, want %d", *tokens, tt.wantTokens)
 			}
 			var engine *EngineError
 			if errors.As(err, &engine) != tt.wantErr {
