--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -68,11 +68,15 @@
 			Split:         []matcher.Share{{Service: service, Weight: 1}},
 		}
 	}
+	review := route("review", matcher.Streaming, "engine")
+	review.Timeout = 15 * time.Second
+	review.MaxPause = time.Second
 	return matcher.Rules{
 		Version:     1,
 		KeyRequired: true,
 		Routes: []matcher.Route{
 			route("stream", matcher.Streaming, "engine"),
+			review,
 			route("pay", matcher.NonIdempotent, "plain"),
 			route("look", matcher.Idempotent, "plain"),
 		},
--- a/internal/receiver/reservation.go
+++ b/internal/receiver/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -20,6 +21,8 @@
 	leaseTime = 3 * time.Second
 	// renewInterval is short enough that the lease survives one lost order.
 	renewInterval = 1200 * time.Millisecond
+	// renewRetryInterval is the pause after a renewal without an answer, so that more than one is attempted before the lease ends.
+	renewRetryInterval = 300 * time.Millisecond
 	// orderTimeout bounds one order: an engine answers within a round trip.
 	orderTimeout = 500 * time.Millisecond
 	// releaseAttempts bounds the attempts to release memory; the lease ends after leaseTime in any case.
@@ -31,11 +34,13 @@
 	// Reserve also renews a reservation; lease is how long it holds without renewal.
 	Reserve func(r Reservation, lease time.Duration) forwarder.Outgoing
 	Release func(r Reservation) forwarder.Outgoing
+	// Check has no effect: the engine's answer shows that the run that was asked still exists.
+	Check func(r Reservation) forwarder.Outgoing
 	// Reference returns the entry for the reservation in the helpers header.
 	Reference func(r Reservation) string
 }
 
-// Reservation is a lease of memory at one engine for a part of a prompt.
+// Reservation is a lease of memory at one engine for a part of a prompt. One without tokens only names an engine to check.
 type Reservation struct {
 	ID      string
 	Engine  namer.Target
@@ -68,7 +73,7 @@
 			continue
 		}
 		list = append(list, Reservation{
-			ID:      string(r.id) + "-" + strconv.Itoa(r.placements) + "-" + strconv.Itoa(i),
+			ID:      reservationID(r, strconv.Itoa(i)),
 			Engine:  h.Engine,
 			Address: h.Address,
 			Tokens:  h.Tokens,
@@ -77,6 +82,20 @@
 	return list
 }
 
+// reservationID returns an id that differs for each placement of a request, so that orders that are carried out late end with it.
+func reservationID(r *request, part string) string {
+	return string(r.id) + "-" + strconv.Itoa(r.placements) + "-" + part
+}
+
+// firstEngine names the first engine of a placement, to check that it still runs.
+func firstEngine(r *request, p scheduler.Placement) Reservation {
+	return Reservation{
+		ID:      reservationID(r, "first"),
+		Engine:  p.Engine,
+		Address: p.Address,
+	}
+}
+
 // helpers returns the value of the helpers header. Reservations come first, since engines fill the helpers in order.
 func (s *Server) helpers(p scheduler.Placement, reserved []Reservation) string {
 	list := make([]string, 0, len(p.Helpers))
@@ -110,22 +129,78 @@
 	return nil
 }
 
-// renew renews the reservations until the context ends.
-func (s *Server) renew(ctx context.Context, list []Reservation) {
-	for len(list) > 0 {
+// watchReservations renews the reservations of an attempt until the context ends, and checks that the attempt's first engine still
+// runs. It calls lost with a ReservationError if one of the engines is lost: the prompt can't be finished then, and the memory at the
+// others would be held in vain. A silent connection doesn't show that the first engine has crashed.
+func (s *Server) watchReservations(ctx context.Context, list []Reservation, first Reservation, lost context.CancelCauseFunc) {
+	if len(list) == 0 {
+		return
+	}
+	watch := func(r Reservation, order forwarder.Outgoing) {
+		if err := s.repeatUntilLost(ctx, r, order); err != nil {
+			s.options.Log.Warn().Err(err).Str("reservation", r.ID).Msg("receiver: engine of a prompt lost")
+			lost(err)
+		}
+	}
+	for _, r := range list {
+		go watch(r, s.options.Orders.Reserve(r, leaseTime))
+	}
+	go watch(first, s.options.Orders.Check(first))
+}
+
+// repeatUntilLost repeats an order until the context ends, and then returns nil. It returns the last error if the engine answers
+// that it has lost the reservation, or if it hasn't answered for the time of a lease.
+func (s *Server) repeatUntilLost(ctx context.Context, r Reservation, order forwarder.Outgoing) error {
+	clock := s.options.Clock
+	leaseEnd := clock.Now().Add(leaseTime)
+	wait := renewInterval
+	for {
 		select {
 		case <-ctx.Done():
-			return
-		case <-s.options.Clock.After(renewInterval):
+			return nil
+		case <-clock.After(wait):
 		}
-		for _, r := range list {
-			if err := s.order(ctx, r, s.options.Orders.Reserve(r, leaseTime)); err != nil && ctx.Err() == nil {
-				s.options.Log.Warn().Err(err).Str("reservation", r.ID).Msg("receiver: renewing a reservation failed")
-			}
+		sent := clock.Now()
+		err := s.order(ctx, r, order)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case reservationGone(err, r.Tokens > 0):
+			return err
+		case answered(err):
+			leaseEnd = sent.Add(leaseTime)
+			wait = renewInterval
+		case !clock.Now().Before(leaseEnd):
+			return err
+		default:
+			s.options.Log.Info().Err(err).Str("reservation", r.ID).Msg("receiver: no answer to an order")
+			wait = min(renewRetryInterval, leaseEnd.Sub(clock.Now()))
 		}
 	}
 }
 
+// answered reports whether an engine has answered an order, even if it refused it.
+func answered(err error) bool {
+	var refused *ReservationError
+	return err == nil || errors.As(err, &refused) && refused.Status != 0
+}
+
+// reservationGone reports whether the answer to an order shows that the engine is another run, or, for a reservation of memory, that
+// the memory has been given to others.
+func reservationGone(err error, memory bool) bool {
+	var refused *ReservationError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Status {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict:
+		return memory
+	}
+	return false
+}
+
 // release releases the reservations in the background.
 func (s *Server) release(list []Reservation) {
 	for _, r := range list {
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -192,17 +192,17 @@
 		helpers: s.helpers(p, reserved),
 	}
 	s.logPlacement(r, p)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if err := s.reserve(ctx, reserved); err != nil {
 		result, err := t.endUnreserved(ctx, a, err)
 		return result, nil, err
 	}
 	defer s.release(reserved)
-	go s.renew(ctx, reserved)
+	s.watchReservations(ctx, reserved, firstEngine(r, p), cancel)
 	var wd *watchdog
 	if t.replaceable() {
-		wd = t.watch(ctx, cancel, excluded, firstEventTimeout+p.FirstEvent)
+		wd = t.watch(ctx, func() { cancel(nil) }, excluded, firstEventTimeout+p.FirstEvent)
 	}
 	answer, result, err := s.send(ctx, r, d, t.lastEventID)
 	faulty := namer.Target("")
@@ -221,10 +221,15 @@
 		successor = wd.close()
 	}
 	outcome := scheduler.Finished
+	var lost *ReservationError
 	switch {
 	case result == verdictAnswer:
 		t.cancel(successor)
 		successor = nil
+	case errors.As(context.Cause(ctx), &lost):
+		err = lost
+		outcome = scheduler.Failed
+		faulty = lost.Engine
 	case successor != nil:
 		err = errors.Join(errSilent, err)
 		outcome = scheduler.Failed
