Direct callers to few instances and bound what the leader tells the others

Change: pkg/director chooses the instances that callers use, the strongest of each data centre in turn, until their capacity without any one data centre is enough. The others stand by: pings once a second, 3 s of silence before a leader counts as lost, joins spread over 1 s after a loss. The list holds only the instances in use and the first 17 of the succession, goes to those that join and, when it changes, to all. Objects are sent in rounds of 0.2 s and logged as one line. Weak instances wait 2 s to be fed before they read the store. The budgets of retries and of cold engines are divided among the instances in use.

The capacity in use isn't measured yet, so that the choice follows the fleet and not the load.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -26,6 +26,7 @@
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/director"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/platform"
@@ -220,6 +221,7 @@
 			Peers:      s.Listen.Peers,
 			DataCentre: s.DataCentre,
 			Strong:     s.Gateway.ProcessorShare >= leaderShare,
+			Cores:      s.Gateway.ProcessorShare,
 		},
 		Store:     store,
 		Format:    platform.Format(),
@@ -232,6 +234,7 @@
 		Scheduler: schedulerSettings,
 		Balancer:  balancer.DefaultSettings(),
 		Convener:  convener.DefaultSettings(),
+		Director:  director.DefaultSettings(),
 	})
 	return i.listen()
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/director"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
@@ -52,6 +54,7 @@
 	Scheduler scheduler.Settings
 	Balancer  balancer.Settings
 	Convener  convener.Settings
+	Director  director.Settings
 }
 
 // View is an immutable snapshot of the state for traffic goroutines.
@@ -61,8 +64,8 @@
 	Catalogue *cataloguer.Catalogue
 	// Members are the instances that callers may use.
 	Members []Member
-	// Instances is the last known number of instances, or an assumed one before any is known. It includes instances that
-	// this one doesn't reach at present.
+	// Instances is the number of instances with which this one shares common limits, or an assumed one before any is known. It
+	// includes instances that this one doesn't reach at present.
 	Instances int
 	Leaving   bool
 }
@@ -90,9 +93,14 @@
 	followers  map[*link]struct{}
 	// pendingMessages holds messages of peers that are neither the leader nor a follower yet.
 	pendingMessages map[*link][]peerMessage
-	// members is the last list received from the leader; sentMembers is the last list that this instance sent as a leader.
-	members     []Member
-	sentMembers membersMessage
+	// members is the last list received from the leader, and instances the number of all instances with it. sentMembers is the last
+	// list that this instance sent as a leader, and encodedMembers its encoding.
+	members        []Member
+	instances      int
+	sentMembers    membersMessage
+	encodedMembers json.RawMessage
+	// sentPing is the last report to the leader.
+	sentPing pingMessage
 	// lostLeader is the last leader that became unreachable; it is no longer listed to callers.
 	lostLeader           string
 	previousMembersUntil time.Time
@@ -143,6 +151,8 @@
 	failures     map[storer.Kind]int
 	leaving      bool
 	viewOutdated bool
+	// applyingSnapshot is set while a snapshot from the leader is applied; it is logged as a whole.
+	applyingSnapshot bool
 }
 
 // messageBuffer is the size of the message queue, so that traffic goroutines rarely block on the control goroutine.
@@ -171,6 +181,10 @@
 	}
 	rank, seedPeers := initialRank(o)
 	c.convener = convener.New(o.Convener, c.self(), rank, seedPeers)
+	if !slices.Contains(o.Seeds, o.Self.Peers) && len(o.Seeds) > 0 {
+		// A leader or a seed soon feeds this instance; in a large deployment, hundreds start at once.
+		c.unfedSince = o.Clock.Now()
+	}
 	c.publish()
 	return c
 }
@@ -322,9 +336,7 @@
 func (c *Coordinator) handleLeave() {
 	c.leaving = true
 	c.viewOutdated = true
-	if c.leader != nil {
-		c.leader.notify(methodPing, pingMessage{})
-	}
+	c.ping()
 }
 
 // handleSubmit forwards a request to the leader, or to the own scheduler if this instance isn't a follower.
@@ -460,6 +472,9 @@
 		c.firstListed[id] = now
 	}
 	c.catalogue.Put(target)
+	if c.applyingSnapshot {
+		return
+	}
 	c.options.Log.Info().Str("target", o.Name).Str("address", target.Address).Str("service", string(target.Service)).
 		Bool("leaving", target.Leaving).Int64("version", o.Version).Msg("coordinator: target listed")
 }
@@ -473,6 +488,9 @@
 	c.perform(ctx, c.convener.Tick(now))
 	c.closeSilentFollowers(now)
 	c.sendMembers(now)
+	if c.leader != nil && c.report() != c.sentPing {
+		c.ping()
+	}
 	c.followStore(ctx, now)
 	c.reportToLeader()
 	c.feedFollowers(now)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -20,6 +20,7 @@
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/director"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
@@ -165,6 +166,7 @@
 		Scheduler: scheduler.DefaultSettings(),
 		Balancer:  balancer.DefaultSettings(),
 		Convener:  convener.DefaultSettings(),
+		Director:  director.DefaultSettings(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := func() {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
-	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/convener"
@@ -160,8 +159,16 @@
 	if m.Whole {
 		events = append(c.missingObjects(events), events...)
 	}
+	c.applyingSnapshot = m.Whole
+	changed := 0
 	for _, e := range events {
-		c.applyChange(now, e)
+		if c.applyChange(now, e) {
+			changed++
+		}
+	}
+	c.applyingSnapshot = false
+	if m.Whole {
+		c.options.Log.Info().Int("objects", len(events)).Int("changed", changed).Msg("coordinator: snapshot applied")
 	}
 	if c.leader != nil {
 		c.hasSnapshot = true
@@ -175,13 +182,14 @@
 	if c.readsStore() {
 		return nil
 	}
+	listed := make(map[objectKey]bool, len(events))
+	for _, e := range events {
+		listed[objectKey{e.Object.Kind, e.Object.Name}] = true
+	}
 	var gone []storer.Event
 	for _, kind := range c.watchedKinds() {
 		for name, o := range c.objects[kind] {
-			listed := slices.ContainsFunc(events, func(e storer.Event) bool {
-				return e.Object.Kind == kind && e.Object.Name == name
-			})
-			if !listed {
+			if !listed[objectKey{kind, name}] {
 				gone = append(gone, storer.Event{
 					Type:   storer.EventDelete,
 					Object: o,
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -32,9 +32,13 @@
 	// member is the follower at the other end; it is empty before the peer has joined, and for a leader.
 	member Member
 	ready  bool
-	// rank is the follower's rank in the succession; hasSnapshot is set once it has been sent all objects.
+	// rank is the follower's rank in the succession, lineLength if it isn't among the first; hasSnapshot is set once it has been
+	// sent all objects, hasMembers once it has been sent the current members.
 	rank        int
 	hasSnapshot bool
+	hasMembers  bool
+	// listedAt is when callers were first told to use the follower; it is zero while they aren't.
+	listedAt time.Time
 	// readsStore is set while the follower reports that it reads from the store successfully.
 	readsStore bool
 	lastSeen   time.Time
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -89,6 +89,8 @@
 	DataCentre namer.DataCentre `json:"data_centre"`
 	// Strong members are preferred as leaders, since they have enough processor time.
 	Strong bool `json:"strong,omitempty"`
+	// Cores is the processor capacity; 0 means unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // decideInterval is the interval of decisions while requests are queued, since an engine may become free at any time.
--- a/internal/coordinator/publish.go
+++ b/internal/coordinator/publish.go
@@ -59,11 +59,17 @@
 // instances start at once, and each must use only its share of common limits.
 const assumedInstances = 64
 
+// countInstances returns the number of instances with which this one shares common limits: those that callers use, or all if this
+// one isn't among them.
 func (c *Coordinator) countInstances(members int) int {
-	if len(c.members) == 0 && c.schedulesAlone() {
+	switch {
+	case len(c.members) == 0 && c.schedulesAlone():
 		return assumedInstances
+	case c.convener.Role() != convener.Leading && len(c.members) > 0 && !c.listed():
+		return max(members, len(c.members), c.instances)
+	default:
+		return max(members, len(c.members))
 	}
-	return max(members, len(c.members))
 }
 
 // schedulesAlone reports whether this instance's scheduler places the work of this instance only.
--- a/internal/coordinator/reader.go
+++ b/internal/coordinator/reader.go
@@ -24,6 +24,8 @@
 	maxSubstitutes = 9
 	// watchDelay is how long an instance that receives no changes from a leader waits before it watches the store itself.
 	watchDelay = 700 * time.Millisecond
+	// weakWatchDelay replaces watchDelay for instances that aren't strong: hundreds may start at once, and a leader feeds them.
+	weakWatchDelay = 2 * time.Second
 	// feedingLeaderWait is the maximum long-poll time of a leader that forwards changes, so that it detects an outage before
 	// entries that expired during the outage are reported as removed.
 	feedingLeaderWait = 600 * time.Millisecond
@@ -66,7 +68,7 @@
 
 // hasFedFollowers reports whether the deployment has instances that don't watch the store.
 func (c *Coordinator) hasFedFollowers() bool {
-	return max(len(c.followers)+1, len(c.members)) > storeReaders
+	return max(len(c.followers)+1, len(c.members), c.instances) > storeReaders
 }
 
 // handleLeaderStoreState records whether the leader or its readers reach the store. Targets whose entries expire during an outage
@@ -90,7 +92,11 @@
 	if following && c.rank < storeReaders && c.rank >= 0 {
 		return true
 	}
-	return now.Sub(c.unfedSince) > watchDelay
+	delay := watchDelay
+	if !c.options.Self.Strong && !c.unfedSince.IsZero() {
+		delay = weakWatchDelay
+	}
+	return now.Sub(c.unfedSince) > delay
 }
 
 // handleStoreChange applies a change that this instance has read from the store and queues it for the leader.
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/convener"
@@ -51,10 +49,7 @@
 		case convener.Join:
 			go c.join(ctx, a.Peer)
 		case convener.Ping:
-			c.leader.notify(methodPing, pingMessage{
-				Ready: c.ready(),
-				Reads: c.readsStore(),
-			})
+			c.ping()
 		case convener.Leave:
 			c.stopFollowing()
 		}
@@ -62,6 +57,22 @@
 	c.updateRole()
 }
 
+// report returns the state of this instance for the leader.
+func (c *Coordinator) report() pingMessage {
+	return pingMessage{
+		Ready: c.ready(),
+		Reads: c.readsStore(),
+	}
+}
+
+// ping sends the state of this instance to the leader, if there is one.
+func (c *Coordinator) ping() {
+	if c.leader != nil {
+		c.sentPing = c.report()
+		c.leader.notify(methodPing, c.sentPing)
+	}
+}
+
 func (c *Coordinator) ready() bool {
 	return c.rules != nil && !c.leaving
 }
@@ -183,6 +194,7 @@
 // follow reports this instance's running requests to the new leader and submits its waiting ones.
 func (c *Coordinator) follow(now time.Time, m joinResult) {
 	c.leader = m.link
+	c.sentPing = pingMessage{}
 	c.leaderName = m.answer.Self.Name
 	c.lostLeader = ""
 	c.convener.Joined(now, m.answer.Self)
@@ -289,16 +301,12 @@
 	if answer.Accepted {
 		m.link.member = request.Member
 		m.link.lastSeen = now
+		m.link.rank = lineLength
 		c.followers[m.link] = struct{}{}
 		c.viewOutdated = true
-		// The new follower needs the list even if it hasn't changed.
-		c.sentMembers = membersMessage{}
 		c.options.Log.Info().Str("member", request.Member.Name).Msg("coordinator: follower joined")
 	}
 	m.answer(answer)
-	if answer.Accepted && !request.Known {
-		c.sendSnapshot(m.link)
-	}
 }
 
 func (c *Coordinator) handleFollowerMessage(now time.Time, m peerMessage) error {
@@ -366,11 +374,10 @@
 	case methodMembers:
 		return decodeAndHandle(m, func(list membersMessage) {
 			c.members = list.Members
-			rank := slices.IndexFunc(list.Line, func(p convener.Peer) bool {
-				return p.Name == c.options.Self.Name
-			})
-			c.rank = rank
-			c.convener.SetSuccession(list.Line, max(0, rank))
+			c.instances = list.Instances
+			c.rank = rankIn(list.Line, c.options.Self.Name)
+			c.convener.SetSuccession(list.Line, c.rank)
+			c.convener.SetStandby(len(list.Members) > 0 && !c.listed())
 			c.viewOutdated = true
 		})
 	}
@@ -413,108 +420,15 @@
 	w.reply <- d
 }
 
-// listMembers returns the instances known to this one that callers may use.
-func (c *Coordinator) listMembers() []Member {
-	var list []Member
-	if c.ready() {
-		list = append(list, c.options.Self)
-	}
-	if c.convener.Role() != convener.Leading {
-		for _, m := range c.members {
-			if m.Name != c.options.Self.Name && m.Name != c.lostLeader {
-				list = append(list, m)
-			}
-		}
-		return list
-	}
-	for l := range c.followers {
-		if l.ready {
-			list = append(list, l.member)
-		}
-	}
-	if c.options.Clock.Now().Before(c.previousMembersUntil) {
-		list = c.addPreviousMembers(list)
-	}
-	slices.SortFunc(list, func(a, b Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
-// addPreviousMembers adds members that the previous leader announced and that haven't joined yet.
-func (c *Coordinator) addPreviousMembers(list []Member) []Member {
-	for _, m := range c.members {
-		known := slices.ContainsFunc(list, func(k Member) bool { return k.Instance == m.Instance })
-		if !known && m.Name != c.options.Self.Name && m.Name != c.lostLeader {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
-// membersInterval is the minimum interval between member lists; it batches changes, since many instances join one by one
-// when a deployment starts.
-const membersInterval = 150 * time.Millisecond
-
-// sendMembers sends the member list to all followers if it has changed.
-func (c *Coordinator) sendMembers(now time.Time) {
-	if c.convener.Role() != convener.Leading || !c.membersChanged || now.Sub(c.membersSentAt) < membersInterval {
-		return
-	}
-	c.membersChanged = false
-	c.membersSentAt = now
-	message := membersMessage{
-		Members: c.View().Members,
-		Line:    c.successionOrder(),
-	}
-	if slices.Equal(message.Members, c.sentMembers.Members) && slices.Equal(message.Line, c.sentMembers.Line) {
-		return
-	}
-	c.sentMembers = message
-	c.rank = 0
-	encoded, err := json.Marshal(message)
-	if err != nil {
-		c.options.Log.Error().Err(err).Msg("coordinator: failed to encode the members")
-		return
-	}
-	for l := range c.followers {
-		l.notify(methodMembers, json.RawMessage(encoded))
-		l.rank = slices.IndexFunc(message.Line, func(p convener.Peer) bool { return p.Name == l.member.Name })
-	}
-}
-
-// successionOrder returns this leader and its followers in order of succession: strong ones first.
-func (c *Coordinator) successionOrder() []convener.Peer {
-	followers := make([]Member, 0, len(c.followers))
-	for l := range c.followers {
-		followers = append(followers, l.member)
-	}
-	slices.SortFunc(followers, func(a, b Member) int {
-		if a.Strong != b.Strong {
-			if a.Strong {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	line := []convener.Peer{c.self()}
-	for _, f := range followers {
-		line = append(line, convener.Peer{
-			Name:    f.Name,
-			Address: f.Peers,
-		})
-	}
-	return line
-}
-
-// closeSilentFollowers closes the connections of followers that have stopped sending pings.
+// closeSilentFollowers closes the connections of followers that have stopped sending pings. Those on standby send fewer.
 func (c *Coordinator) closeSilentFollowers(now time.Time) {
+	s := &c.options.Convener
 	for l := range c.followers {
-		if now.Sub(l.lastSeen) > c.options.Convener.Silence+c.options.Convener.Ping {
+		limit, since := s.StandbySilence+s.StandbyPing, l.lastSeen
+		if !l.listedAt.IsZero() && now.Sub(l.listedAt) > s.StandbyPing {
+			limit = s.Silence + s.Ping
+		}
+		if now.Sub(since) > limit {
 			l.close()
 		}
 	}
--- /dev/null
+++ b/internal/coordinator/scale_test.go
@@ -0,0 +1,156 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
+)
+
+// joinedFleet is a leader with links that queue its messages instead of sending them.
+type joinedFleet struct {
+	leader *Coordinator
+	clock  *manualClock
+	links  []*link
+}
+
+// newFleetLeader returns a leader without followers that knows the rules and some targets.
+func newFleetLeader(t *testing.T) *joinedFleet {
+	t.Helper()
+	clock := &manualClock{System: timer.System{}, now: time.Unix(1_000, 0)}
+	o := startInstance(t, newStore(), 0).options
+	o.Clock = clock
+	o.Self.Cores = 0.8
+	leader := New(o)
+	leader.convener.PointerWritten(clock.now, 1)
+	leader.updateRole()
+	rules, _ := json.Marshal(rulesOf(1))
+	leader.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: rules}})
+	for i := range 120 {
+		name := fmt.Sprint("engine-", i)
+		entry := storer.Object{Kind: kindTargets, Name: name, Version: int64(i + 2), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))}
+		leader.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: entry})
+	}
+	return &joinedFleet{leader: leader, clock: clock}
+}
+
+// join lets an instance join that is ready as soon as it has the rules.
+func (f *joinedFleet) join(t *testing.T, i int) {
+	t.Helper()
+	l := &link{
+		conn:      closedConn(t),
+		closed:    make(chan struct{}),
+		sendQueue: make(chan func() error, linkQueue),
+	}
+	member := Member{
+		Name:       fmt.Sprintf("entry-%03d", i),
+		Instance:   namer.Instance(fmt.Sprint(i)),
+		Callers:    fmt.Sprintf("10.1.%d.%d:8227", i/250, i%250),
+		Peers:      fmt.Sprintf("10.1.%d.%d:7340", i/250, i%250),
+		DataCentre: namer.DataCentre(fmt.Sprint("dc-", i%5)),
+		Strong:     i%20 == 0,
+		Cores:      0.2,
+	}
+	if member.Strong {
+		member.Cores = 0.8
+	}
+	params, err := json.Marshal(joinRequest{Member: member})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.leader.handlePeerMessage(f.clock.now, peerMessage{link: l, method: methodJoin, params: params, answer: func(any) {}})
+	ping, _ := json.Marshal(pingMessage{Ready: true})
+	f.leader.handlePeerMessage(f.clock.now, peerMessage{link: l, method: methodPing, params: ping})
+	f.links = append(f.links, l)
+}
+
+// run lets the time pass in rounds of upkeep; followers send a ping in each second.
+func (f *joinedFleet) run(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := f.clock.now.Add(d); f.clock.now.Before(end); f.clock.now = f.clock.now.Add(upkeepInterval) {
+		for _, l := range f.links {
+			l.lastSeen = f.clock.now
+		}
+		f.leader.publish()
+		f.leader.sendMembers(f.clock.now)
+		f.leader.feedFollowers(f.clock.now)
+	}
+}
+
+// Guards against a cost of joining that grows with the square of the deployment: each instance that joined made the leader send the
+// whole list of members to all, and encode all objects anew (pattern: hundreds of instances start at once; quiet-1 of the large site
+// lost its leader in waves). A list may take 20 KB, and an instance may be sent 20 messages while all join.
+func TestJoinsCostTheSameInLargeFleets(t *testing.T) {
+	const maxListBytes, maxMessages = 20_000, 20
+	for _, count := range []int{30, 300} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			f := newFleetLeader(t)
+			const rounds = int(2 * time.Second / upkeepInterval)
+			for i := range rounds {
+				for n := count * i / rounds; n < count*(i+1)/rounds; n++ {
+					f.join(t, n)
+				}
+				f.run(t, upkeepInterval)
+			}
+			f.run(t, time.Second)
+			for _, l := range f.links {
+				if got := len(l.sendQueue); got > maxMessages {
+					t.Fatalf("%s was sent %d messages, want at most %d", l.member.Name, got, maxMessages)
+				}
+				if !l.hasMembers || !l.hasSnapshot {
+					t.Fatalf("%s lacks the members or the objects", l.member.Name)
+				}
+			}
+			if got := len(f.leader.encodedMembers); got > maxListBytes {
+				t.Errorf("the list of members has %d bytes, want at most %d", got, maxListBytes)
+			}
+		})
+	}
+}
+
+// Guards against instances that leave a slow leader all at once and join it again all at once, which silences it again: those that
+// callers don't use notice a silent leader later, and join at different times (pattern: a leader of hundreds is busy for a second).
+func TestStandbyInstancesJoinAgainAtDifferentTimes(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	s := convener.DefaultSettings()
+	joins := map[time.Duration]int{}
+	const count = 280
+	for i := range count {
+		c := convener.New(s, convener.Peer{Name: fmt.Sprint("entry-", i)}, lineLength, nil)
+		c.Joined(now, convener.Peer{Name: "leader", Address: "leader"})
+		c.SetStandby(true)
+		for _, a := range c.Tick(now.Add(s.Silence + 10*time.Millisecond)) {
+			if _, left := a.(convener.Leave); left {
+				t.Fatalf("entry-%d leaves after %s", i, s.Silence)
+			}
+		}
+		actions := c.LeaderDisconnected(now)
+		at := time.Duration(0)
+		for ; at <= s.StandbySpread && !joinsLeader(actions); at += 10 * time.Millisecond {
+			actions = c.Tick(now.Add(at))
+		}
+		if !joinsLeader(actions) {
+			t.Fatalf("entry-%d doesn't join within %s", i, s.StandbySpread)
+		}
+		joins[at.Truncate(100*time.Millisecond)]++
+	}
+	for at, n := range joins {
+		if n > count/4 {
+			t.Errorf("%d of %d instances join within 100 ms, at %s", n, count, at)
+		}
+	}
+}
+
+func joinsLeader(actions []convener.Action) bool {
+	for _, a := range actions {
+		if _, joins := a.(convener.Join); joins {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -133,8 +133,11 @@
 	Refuse  *scheduler.Refuse    `json:"refuse,omitempty"`
 }
 
-// membersMessage lists the instances that callers may use, and the peers in order of succession.
+// membersMessage lists the instances that callers may use, and the first peers in order of succession. Its size doesn't grow with the
+// deployment.
 type membersMessage struct {
 	Members []Member        `json:"members"`
 	Line    []convener.Peer `json:"line"`
+	// Instances is the number of all instances.
+	Instances int `json:"instances"`
 }
--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -23,6 +23,7 @@
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/director"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
@@ -144,6 +145,7 @@
 		Scheduler: scheduler.DefaultSettings(),
 		Balancer:  balancer.DefaultSettings(),
 		Convener:  convener.DefaultSettings(),
+		Director:  director.DefaultSettings(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -1,6 +1,8 @@
 package convener
 
 import (
+	"hash/fnv"
+	"math"
 	"time"
 )
 
@@ -20,6 +22,11 @@
 	Check time.Duration
 	// NotLeadingRetries is how many times a reachable peer that isn't leading is asked again.
 	NotLeadingRetries int
+	// StandbyPing and StandbySilence replace Ping and Silence for an instance that callers aren't told to use.
+	StandbyPing    time.Duration
+	StandbySilence time.Duration
+	// StandbySpread is the period over which the instances on standby join again after the loss of their leader.
+	StandbySpread time.Duration
 	// Retry is how long an instance that reached no peer leads only itself before it searches again.
 	Retry time.Duration
 }
@@ -34,6 +41,9 @@
 		Unreachable:       2 * time.Second,
 		Check:             3 * time.Second,
 		NotLeadingRetries: 3,
+		StandbyPing:       time.Second,
+		StandbySilence:    3 * time.Second,
+		StandbySpread:     time.Second,
 		Retry:             time.Second,
 	}
 }
@@ -103,10 +113,12 @@
 type Convener struct {
 	settings Settings
 	self     Peer
-	rank     int
-	role     Role
-	leader   Peer
-	pointer  Pointer
+	// spread is this instance's part, from 0 to 1, of delays by which the steps of many instances are spread.
+	spread  float64
+	rank    int
+	role    Role
+	leader  Peer
+	pointer Pointer
 	// actionPending is set while a ReadPointer, WritePointer or Join action is in progress.
 	actionPending bool
 	// nextStep is when the search continues, or when a leader next checks the pointer.
@@ -119,8 +131,12 @@
 	// notLeading counts consecutive answers from peers that aren't leading yet.
 	notLeading  int
 	unreachable map[string]time.Time
-	lastHeard   time.Time
-	lastPing    time.Time
+	// standby is set while callers aren't told to use this instance.
+	standby bool
+	// rejoin is set if the next step is to join the leader again, to which the connection was lost.
+	rejoin    bool
+	lastHeard time.Time
+	lastPing  time.Time
 }
 
 // New returns a convener in the role Searching; rank determines how long this instance waits before it tries to lead.
@@ -128,12 +144,21 @@
 	return &Convener{
 		settings:    settings,
 		self:        self,
+		spread:      spreadOf(self.Name),
 		rank:        rank,
 		succession:  succession,
 		unreachable: map[string]time.Time{},
 	}
 }
 
+// spreadOf returns a number from 0 to 1 that differs between instances.
+func spreadOf(name string) float64 {
+	h := fnv.New32a()
+	// Write never fails.
+	_, _ = h.Write([]byte(name))
+	return float64(h.Sum32()) / math.MaxUint32
+}
+
 // Role returns the current role.
 func (c *Convener) Role() Role {
 	return c.role
@@ -153,14 +178,28 @@
 	c.rank = rank
 }
 
+// SetStandby records whether callers are told to use this instance. One on standby needs its leader less urgently.
+func (c *Convener) SetStandby(standby bool) {
+	c.standby = standby
+}
+
+// pace returns the interval of pings and the silence after which the leader counts as lost.
+func (c *Convener) pace() (ping, silence time.Duration) {
+	if c.standby {
+		return c.settings.StandbyPing, c.settings.StandbySilence
+	}
+	return c.settings.Ping, c.settings.Silence
+}
+
 // Tick returns the actions that are due.
 func (c *Convener) Tick(now time.Time) []Action {
+	ping, silence := c.pace()
 	switch c.role {
 	case Following:
-		if now.Sub(c.lastHeard) > c.settings.Silence {
+		if now.Sub(c.lastHeard) > silence {
 			return c.leaderTimedOut(now)
 		}
-		if now.Sub(c.lastPing) >= c.settings.Ping {
+		if now.Sub(c.lastPing) >= ping {
 			c.lastPing = now
 			return []Action{Ping{}}
 		}
@@ -174,6 +213,10 @@
 
 // search returns the next action of the search.
 func (c *Convener) search() []Action {
+	if c.rejoin {
+		c.rejoin = false
+		return c.join(c.leader)
+	}
 	c.actionPending = true
 	if c.claimNext {
 		c.claimNext = false
@@ -196,6 +239,7 @@
 	c.role = role
 	c.actionPending = false
 	c.claimNext = false
+	c.rejoin = false
 	c.peersTried = 0
 	c.notLeading = 0
 }
@@ -208,7 +252,11 @@
 	}
 	c.setRole(Searching)
 	c.nextStep = now
-	return append([]Action{Leave{}}, c.join(c.leader)...)
+	c.rejoin = true
+	if c.standby {
+		c.nextStep = now.Add(time.Duration(c.spread * float64(c.settings.StandbySpread)))
+	}
+	return append([]Action{Leave{}}, c.Tick(now)...)
 }
 
 // LeaderHeard records the time of a message from the leader.
