Bound what targets, peers and the store may send without end

New tests against servers that send bytes until the connection is closed ended the test process for lack of memory (an 8 GB limit) in the forwarder, and in the store's client with an announced length of 10^12 bytes.

Change: the header of a target's answer ends at 64 KiB, with informational answers before it; the request may have run, so the caller isn't told that it hasn't. The store's client reads at most 64 KiB ahead of its parser and 16 MiB of body. A peer's message of more than 16 MiB closes its connection. An event of one endless line is reported as too long, not as a full buffer.

--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -40,8 +40,11 @@
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		event.Raw = append(event.Raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event.Raw) < maxEventBytes {
-			continue
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if len(event.Raw) < maxEventBytes {
+				continue
+			}
+			return Event{}, ErrEventTooLong
 		}
 		if errors.Is(err, io.EOF) && len(event.Raw) > 0 {
 			return Event{}, io.ErrUnexpectedEOF
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,8 @@
 	dialTimeout = 700 * time.Millisecond
 	// readBuffer is the buffer size in bytes; it fits an answer's header and several events.
 	readBuffer = 4 << 10
+	// maxHeadBytes bounds the header of an answer, with those of the informational answers before it.
+	maxHeadBytes = 64 << 10
 	// maxInformational bounds the 1xx responses before the final one.
 	maxInformational = 5
 	// keepAliveIdle, keepAliveInterval and keepAliveCount make TCP keep-alive detect a dead connection within about 3 s.
@@ -104,7 +106,12 @@
 		_, err := buffers.WriteTo(conn)
 		a.written <- err
 	}()
-	response, err := readResponse(bufio.NewReaderSize(conn, readBuffer), o.Method) //nolint:bodyclose // Answer.Close closes the connection
+	limited := &headReader{
+		reader: conn,
+		left:   maxHeadBytes,
+	}
+	response, err := readResponse(bufio.NewReaderSize(limited, readBuffer), o.Method) //nolint:bodyclose // Answer.Close closes the connection
+	limited.unlimited = true
 	if err != nil {
 		a.Close()
 		return nil, &SendError{
@@ -119,6 +126,28 @@
 	return a, nil
 }
 
+// headReader limits the bytes read until unlimited is set: the standard library doesn't limit the header of a response.
+type headReader struct {
+	reader    io.Reader
+	left      int
+	unlimited bool
+}
+
+// Read fails with errHeadTooLong once the limit is reached.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.unlimited {
+		return h.reader.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.reader.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+var errHeadTooLong = fmt.Errorf("the header of the answer is longer than %d bytes", maxHeadBytes)
+
 // head returns the encoded request line and header.
 func (o *Outgoing) head() []byte {
 	var b bytes.Buffer
--- a/internal/messenger/listener.go
+++ b/internal/messenger/listener.go
@@ -60,8 +60,7 @@
 		Conn:     conn,
 		counters: counters,
 	}
-	// The varint codec has the shortest frame header of the library's codecs.
-	return jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(counted, boundedCodec{})
 }
 
 func dispatch(ctx context.Context, handler Handler, request *jsonrpc2.Request) (any, error) {
--- /dev/null
+++ b/pkg/storer/endless_test.go
@@ -0,0 +1,74 @@
+package storer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// maxEndlessBytes is what an endless answer may cost: the largest accepted body, doubled by its growing buffer, and the sockets' buffers.
+const maxEndlessBytes = 3 * maxResponseBytes
+
+// Guards against memory that grows without bound while the store, or something that answers in its place, sends bytes without end.
+func TestEndlessAnswer(t *testing.T) {
+	for name, test := range map[string]struct{ beginning, repeated string }{
+		"header line":         {"HTTP/1.1 200 OK\r\nLong: ", "x"},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"no protocol":         {"", "no answer "},
+		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		"long length":         {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			sent := &atomic.Int64{}
+			go serveEndless(listener, test.beginning, test.repeated, sent)
+			const timeout = 5 * time.Second
+			transport, err := NewTransport(listener.Addr().String(), timeout)
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			_, err = transport.Do(context.Background(), HTTPRequest{Method: "GET", Path: "/x"})
+			var unavailable *UnavailableError
+			if !errors.As(err, &unavailable) || !unavailable.Sent {
+				t.Errorf("got %v, want an UnavailableError of a call that was sent", err)
+			}
+			if took := time.Since(began); took >= timeout {
+				t.Errorf("the answer was read for %s", took)
+			}
+			if got := sent.Load(); got > maxEndlessBytes {
+				t.Errorf("%d bytes were read, want at most %d", got, maxEndlessBytes)
+			}
+		})
+	}
+}
+
+// serveEndless answers each connection with the beginning, and then repeats the bytes until the connection is closed.
+func serveEndless(listener net.Listener, beginning, repeated string, sent *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			_, _ = conn.Read(make([]byte, 64<<10))
+			_, err := io.WriteString(conn, beginning)
+			for part := strings.Repeat(repeated, 1024); err == nil; {
+				n := 0
+				n, err = io.WriteString(conn, part)
+				sent.Add(int64(n))
+			}
+		}()
+	}
+}
--- a/pkg/storer/transport.go
+++ b/pkg/storer/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
@@ -66,9 +67,16 @@
 	return client.NewClient(
 		client.WithDialTimeout(dialTimeout),
 		// The default dialer sometimes loses a response if the server closes the connection right after it.
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(boundedDialer{
+			Dialer: standard.NewDialer(),
+		}),
 		client.WithMaxConnsPerHost(64),
 		client.WithKeepAlive(keepAlive),
+		config.ClientOption{
+			F: func(o *config.ClientOptions) {
+				o.MaxResponseBodySize = maxResponseBytes
+			},
+		},
 	)
 }
 
