--- a/pkg/storer/dialer.go
+++ b/pkg/storer/dialer.go
@@ -8,14 +8,10 @@
 	"github.com/cloudwego/hertz/pkg/network"
 )
 
-const (
-	// maxResponseBytes bounds the body of a response; the store's lists have about 1 MB.
-	maxResponseBytes = 16 << 20
-	// maxLookahead bounds the bytes that the HTTP client holds before it has parsed them, which are those of a header.
-	maxLookahead = 64 << 10
-)
+// maxResponseBytes bounds the header and the body of a response, each; the store's lists have about 1 MB.
+const maxResponseBytes = 16 << 20
 
-var errHeaderTooLong = errors.New("the header of the response is longer than 64 KiB")
+var errResponseTooLong = errors.New("the response is longer than 16 MiB")
 
 // boundedDialer opens connections on which the header of a response is bounded: the HTTP client has no limit for it.
 type boundedDialer struct {
@@ -37,11 +33,11 @@
 	network.Conn
 }
 
-// Peek returns the next n bytes without consuming them; it fails with errHeaderTooLong rather than read more than maxLookahead bytes
+// Peek returns the next n bytes without consuming them; it fails with errResponseTooLong rather than read more than maxResponseBytes
 // ahead.
 func (c boundedConn) Peek(n int) ([]byte, error) {
-	if n > maxLookahead && n > c.Len() {
-		return nil, errHeaderTooLong
+	if n > maxResponseBytes && n > c.Len() {
+		return nil, errResponseTooLong
 	}
 	return c.Conn.Peek(n)
 }
