--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -274,6 +274,11 @@
 	return int(share*float64(e.Speed.MemoryTokens)) - e.plannedMemory
 }
 
+// mayHelp reports whether the engine may prefill a part of one more prompt for another engine.
+func (e *engine) mayHelp() bool {
+	return e.helperParts < e.Slots
+}
+
 // usable reports whether the engine may receive a request now.
 func (e *engine) usable(now time.Time) bool {
 	return !now.Before(e.backoffUntil) && e.withinColdRate(now)
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -183,18 +183,7 @@
 	}
 	first := slices.IndexFunc(options, func(o option) bool { return o.fits })
 	if first < 0 {
-		engines := make([]*engine, 0, parts)
-		cost := time.Duration(0)
-		lost := 0
-		for _, o := range options[:parts] {
-			engines = append(engines, o.engine)
-			cost = max(cost, o.cost)
-			lost += o.valueLost
-		}
-		if !s.worthwhile(now, r, cost, lost) {
-			return choice{}, false
-		}
-		return s.splitMemory(r, engines, cost+time.Duration(parts)*s.settings.PartCost)
+		return s.chooseWithSplitMemory(now, r, options, parts)
 	}
 	c := choice{
 		first: options[first].engine,
@@ -205,7 +194,7 @@
 		if len(c.helpers) == parts-1 {
 			break
 		}
-		if i == first || o.engine.helperParts >= o.engine.Slots {
+		if i == first || !o.engine.mayHelp() {
 			continue
 		}
 		lost += o.valueLost
@@ -215,6 +204,28 @@
 	return c, len(c.helpers) == parts-1 && s.worthwhile(now, r, c.cost, lost)
 }
 
+// chooseWithSplitMemory finds engines for a prompt that exceeds the memory of every single one; all of them may help another one.
+func (s *Scheduler) chooseWithSplitMemory(now time.Time, r *Request, options []option, parts int) (choice, bool) {
+	engines := make([]*engine, 0, parts)
+	cost := time.Duration(0)
+	lost := 0
+	for _, o := range options {
+		if len(engines) == parts {
+			break
+		}
+		if !o.engine.mayHelp() {
+			continue
+		}
+		engines = append(engines, o.engine)
+		cost = max(cost, o.cost)
+		lost += o.valueLost
+	}
+	if len(engines) < parts || !s.worthwhile(now, r, cost, lost) {
+		return choice{}, false
+	}
+	return s.splitMemory(r, engines, cost+time.Duration(parts)*s.settings.PartCost)
+}
+
 // worthwhile reports whether the value of a request exceeds the value that other requests lose.
 func (s *Scheduler) worthwhile(now time.Time, r *Request, cost time.Duration, lost int) bool {
 	return lost == 0 || r.valueAt(now.Add(cost)) > (1-lateShare)*float64(lost)
@@ -240,16 +251,13 @@
 		if i == first {
 			continue
 		}
-		if e.helperParts >= e.Slots {
-			return choice{}, false
-		}
-		tokens := min(missing, e.freeMemory(s.settings.MemoryShare))
-		if missing > 0 && tokens < minReservation {
-			tokens = 0
+		tokens := 0
+		if free := e.freeMemory(s.settings.MemoryShare); missing > 0 && free >= minReservation {
+			tokens = min(max(missing, minReservation), free)
 		}
-		missing -= max(0, tokens)
+		missing -= tokens
 		c.helpers = append(c.helpers, e)
-		c.reserved = append(c.reserved, max(0, tokens))
+		c.reserved = append(c.reserved, tokens)
 	}
 	return c, missing <= 0
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -120,6 +120,8 @@
 	// Running counts placed requests, and Decoding those past their first event.
 	Running  int
 	Decoding int
+	// Idle counts the engines without requests or parts of prompts.
+	Idle int
 	// FreeSlots and FreeTokens are totals over all engines.
 	FreeSlots  int
 	FreeTokens int
@@ -142,6 +144,9 @@
 		if now.Before(e.backoffUntil) {
 			load.Avoided++
 		}
+		if len(e.runs) == 0 && e.helperParts == 0 {
+			load.Idle++
+		}
 		load.Decoding += e.decoding
 		load.FreeSlots += e.Slots - len(e.runs)
 		load.FreeTokens += e.freeMemory(s.settings.MemoryShare)
