Count the time that a request waited unread during a pause

What is read just after a pause counts as sent when the pause began: its deadline is earlier by the pause, and it is refused as not run if that has passed. Both servers for callers use it.

--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -13,7 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/timer"
 )
 
 const lastEvent = 6
@@ -372,3 +375,24 @@
 		})
 	}
 }
+
+// Guards against handing a target more time than its caller has left: a request that was sent while the process was paused has waited in
+// the socket's buffer (fault node_freeze).
+func TestTimeUnreadDuringAPauseCounts(t *testing.T) {
+	const pause, remaining = 2 * time.Second, 2500 * time.Millisecond
+	clock := timer.NewManual(time.Unix(1_000, 0))
+	s := New(Options{
+		Listener: listen(t),
+		Clock:    clock,
+		Names:    names,
+	})
+	c := app.NewContext(0)
+	c.Request.Header.Set(names.RemainingMilliseconds, strconv.FormatInt(remaining.Milliseconds(), 10))
+	if got := s.read(c, s.received()).callerDeadline.Sub(clock.Now()); got != remaining {
+		t.Errorf("%s are left without a pause, want %s", got, remaining)
+	}
+	clock.Advance(pause)
+	if got := s.read(c, s.received()).callerDeadline.Sub(clock.Now()); got != remaining-pause {
+		t.Errorf("%s are left after a pause, want %s", got, remaining-pause)
+	}
+}
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -17,6 +17,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/coordinator"
 	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/detector"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/timer"
 )
@@ -54,6 +55,7 @@
 	lastReturn atomic.Int64
 	// leavingSince is when the instance began to leave, in Unix nanoseconds; 0 before that.
 	leavingSince atomic.Int64
+	pauses       *detector.Detector
 }
 
 // New returns a server that listens on the options' listener.
@@ -62,6 +64,7 @@
 	s := &Server{
 		options: o,
 		hertz:   h,
+		pauses:  detector.New(o.Clock, detector.DefaultSettings()),
 	}
 	h.NoRoute(s.serve)
 	return s
@@ -89,6 +92,9 @@
 
 // Run serves until the process ends or the listener fails.
 func (s *Server) Run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.pauses.Run(ctx)
 	return s.hertz.Run()
 }
 
@@ -117,7 +123,7 @@
 		s.active.Add(-1)
 	}()
 	c.SetStatusCode(http.StatusOK)
-	r := s.read(c, s.options.Clock.Now())
+	r := s.read(c, s.received())
 	if s.leavingSince.Load() != 0 {
 		c.SetConnectionClose()
 	}
@@ -143,6 +149,12 @@
 	s.finish(ctx, r, w, f)
 }
 
+// received returns the earliest time at which a request that is read now may have been sent.
+func (s *Server) received() time.Time {
+	now := s.options.Clock.Now()
+	return now.Add(-s.pauses.Unread(now))
+}
+
 // finish records the outcome; it sends the refusal, or closes the connection if part of an answer has already been sent.
 func (s *Server) finish(ctx context.Context, r *request, w *writer, f *refusal) {
 	took := s.options.Clock.Now().Sub(r.received)
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -40,9 +40,9 @@
 }
 
 func (s *Server) completions(ctx context.Context, c *app.RequestContext) {
-	now := s.options.Clock.Now()
+	received := s.received()
 	request := &controller.Request{
-		Received: now,
+		Received: received,
 		Customer: namer.Customer(c.Request.Header.Get(HeaderCustomer)),
 	}
 	body, err := readBody(c, s.options.MaxBodyBytes, s.options.Clock.Now)
@@ -50,7 +50,7 @@
 		s.refuse(c, request, err)
 		return
 	}
-	parsed, err := parseCompletion(c, body, now, s.options.NewID)
+	parsed, err := parseCompletion(c, body, received, s.options.NewID)
 	if err != nil {
 		s.refuse(c, request, err)
 		return
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -151,11 +151,7 @@
 		return 0, malformed(HeaderDeadline + " must be a duration such as 30s")
 	}
 	if timeout <= 0 {
-		return 0, &refuser.Refusal{
-			Reason:  refuser.DeadlinePast,
-			Ran:     refuser.RanNo,
-			Message: HeaderDeadline + " is in the past: send a duration above zero",
-		}
+		return 0, deadlinePast(HeaderDeadline + " is in the past: send a duration above zero")
 	}
 	return timeout, nil
 }
@@ -176,6 +172,14 @@
 	return hashes
 }
 
+func deadlinePast(message string) error {
+	return &refuser.Refusal{
+		Reason:  refuser.DeadlinePast,
+		Ran:     refuser.RanNo,
+		Message: message,
+	}
+}
+
 func malformed(message string) error {
 	return &refuser.Refusal{
 		Reason:  refuser.MalformedRequest,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/controller"
 	"bergamothollow.example/bergamothollow/internal/streamer"
+	"bergamothollow.example/bergamothollow/pkg/detector"
 	"bergamothollow.example/bergamothollow/pkg/holder"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
@@ -43,6 +44,7 @@
 type Server struct {
 	options Options
 	meter   *meter
+	pauses  *detector.Detector
 	hertz   *server.Hertz
 }
 
@@ -65,6 +67,7 @@
 	)
 	s := &Server{
 		options: o,
+		pauses:  detector.New(o.Clock, detector.DefaultSettings()),
 		meter:   newMeter(o.BufferBounds, o.Clock, o.Metrics.HeldBytes),
 		hertz:   h,
 	}
@@ -83,6 +86,7 @@
 // Run serves requests until Shutdown is called.
 func (s *Server) Run(ctx context.Context) error {
 	go s.meter.run(ctx)
+	go s.pauses.Run(ctx)
 	return s.hertz.Run()
 }
 
@@ -91,6 +95,12 @@
 	return s.hertz.Shutdown(ctx)
 }
 
+// received returns the earliest time at which a request that is read now may have been sent.
+func (s *Server) received() time.Time {
+	now := s.options.Clock.Now()
+	return now.Add(-s.pauses.Unread(now))
+}
+
 func (s *Server) address(_ context.Context, c *app.RequestContext) {
 	answer, err := s.options.Control.Addresses()
 	if err != nil {
