Choose as many instances as the load needs

Cause: the number of instances that callers use followed the fleet's size only, so a deployment of few strong and many weak instances would keep callers at the strong ones whatever the load.

Change: each instance reports the processor capacity that it uses (getrusage, over a second) with its pings; the leader lists instances until their capacity without any one data centre is four times the recent peak of what the listed ones use.

Test: TestMoreInstancesAreListedUnderLoad.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -235,10 +235,21 @@
 		Balancer:  balancer.DefaultSettings(),
 		Convener:  convener.DefaultSettings(),
 		Director:  director.DefaultSettings(),
+
+		ProcessorTime: processorTime,
 	})
 	return i.listen()
 }
 
+// processorTime returns the processor time that the process has used; 0 if the system doesn't tell.
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
 // listen opens the listeners and creates the servers on them.
 func (i *instance) listen() error {
 	s := i.settings
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -55,6 +55,8 @@
 	Balancer  balancer.Settings
 	Convener  convener.Settings
 	Director  director.Settings
+	// ProcessorTime returns the processor time that the process has used; nil means that it isn't known.
+	ProcessorTime func() time.Duration
 }
 
 // View is an immutable snapshot of the state for traffic goroutines.
@@ -151,6 +153,7 @@
 	failures     map[storer.Kind]int
 	leaving      bool
 	viewOutdated bool
+	usage        usage
 	// applyingSnapshot is set while a snapshot from the leader is applied; it is logged as a whole.
 	applyingSnapshot bool
 }
@@ -486,6 +489,7 @@
 		c.viewOutdated = true
 	}
 	c.perform(ctx, c.convener.Tick(now))
+	c.measureUsage(now)
 	c.closeSilentFollowers(now)
 	c.sendMembers(now)
 	if c.leader != nil && c.report() != c.sentPing {
@@ -513,7 +517,7 @@
 	c.options.Log.Info().Str("role", c.role.String()).Int("engines", load.Engines).Int("avoided", load.Avoided).
 		Int("queued", load.Queued).Int("running", load.Running).Int("writing", load.Decoding).
 		Int("idle", load.Idle).Int("free_slots", load.FreeSlots).Int("free_tokens", load.FreeTokens).Dur("longest_pass", load.LongestPass).
-		Float64("pressure", load.Pressure).
+		Float64("pressure", load.Pressure).Float64("listed_cores", c.listedUsage()).
 		Int("followers", len(c.followers)).Msg("coordinator: load")
 }
 
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -41,7 +41,9 @@
 	listedAt time.Time
 	// readsStore is set while the follower reports that it reads from the store successfully.
 	readsStore bool
-	lastSeen   time.Time
+	// used is the processor capacity that the follower uses, in cores.
+	used     float64
+	lastSeen time.Time
 }
 
 // peerMessage is a message of a peer, to be handled by the control goroutine.
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -59,7 +59,7 @@
 			Cores:      m.Cores,
 		})
 	}
-	chosen := director.Choose(candidates, fleetCores, 0, c.options.Director)
+	chosen := director.Choose(candidates, fleetCores, c.usage.peak, c.options.Director)
 	list := slices.DeleteFunc(ready, func(m Member) bool { return !chosen[m.Name] })
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -57,7 +57,7 @@
 	c.updateRole()
 }
 
-// report returns the state of this instance for the leader.
+// report returns the state of this instance of which the leader must hear at once.
 func (c *Coordinator) report() pingMessage {
 	return pingMessage{
 		Ready: c.ready(),
@@ -69,7 +69,9 @@
 func (c *Coordinator) ping() {
 	if c.leader != nil {
 		c.sentPing = c.report()
-		c.leader.notify(methodPing, c.sentPing)
+		message := c.sentPing
+		message.Used = c.usage.cores
+		c.leader.notify(methodPing, message)
 	}
 }
 
@@ -317,6 +319,7 @@
 				m.link.ready = p.Ready
 				c.viewOutdated = true
 			}
+			m.link.used = p.Used
 			m.link.readsStore = p.Reads
 			m.link.notify(methodPong, c.storeState)
 		})
--- a/internal/coordinator/scale_test.go
+++ b/internal/coordinator/scale_test.go
@@ -76,6 +76,7 @@
 		for _, l := range f.links {
 			l.lastSeen = f.clock.now
 		}
+		f.leader.measureUsage(f.clock.now)
 		f.leader.publish()
 		f.leader.sendMembers(f.clock.now)
 		f.leader.feedFollowers(f.clock.now)
@@ -154,3 +155,30 @@
 	}
 	return false
 }
+
+// Guards against a choice of instances that doesn't follow the load: callers then queue at few busy instances while hundreds stand by
+// (pattern: a burst beyond what the strong instances can serve).
+func TestMoreInstancesAreListedUnderLoad(t *testing.T) {
+	f := newFleetLeader(t)
+	f.leader.options.ProcessorTime = func() time.Duration { return 0 }
+	for i := range 200 {
+		f.join(t, i)
+	}
+	f.run(t, time.Second)
+	quiet := len(f.leader.sentMembers.Members)
+	ping, _ := json.Marshal(pingMessage{Ready: true, Used: 0.7})
+	for _, l := range f.links {
+		f.leader.handlePeerMessage(f.clock.now, peerMessage{link: l, method: methodPing, params: ping})
+	}
+	f.run(t, 2*time.Second)
+	if busy := len(f.leader.sentMembers.Members); busy <= quiet {
+		t.Errorf("%d instances are listed under load, %d without", busy, quiet)
+	}
+	for _, l := range f.links {
+		l.used = 0
+	}
+	f.run(t, 2*time.Minute)
+	if after := len(f.leader.sentMembers.Members); after != quiet {
+		t.Errorf("%d instances are listed after the load, want %d", after, quiet)
+	}
+}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -44,6 +44,8 @@
 	Ready bool `json:"ready"`
 	// Reads is set while the follower reads from the store successfully.
 	Reads bool `json:"reads,omitempty"`
+	// Used is the processor capacity that the follower uses, in cores.
+	Used float64 `json:"used,omitempty"`
 }
 
 // pongMessage is the leader's answer to a ping; it shows that the leader's control goroutine runs.
