Open a connection for each call of the store and of engines

A test with a server that sends a second copy of each answer 20 ms later got the answer of /kind-0 for /kind-1: one kind of objects would be read as another. Without the delay the client drops the copy, so the fault shows only when it is late.

Change: no connection is reused for them. Streams of engines keep theirs: their tokens name the request. Messages between instances have ids. Requests to targets have had a connection each.

--- a/internal/streamer/client.go
+++ b/internal/streamer/client.go
@@ -48,10 +48,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// Each call has a connection of its own: on a reused one, a second copy of an earlier answer would be taken for the answer to the
+	// call. The tokens of streams name their request.
 	calls, err := client.NewClient(
 		client.WithDialTimeout(dialTimeout),
 		client.WithDialer(standard.NewDialer()),
 		client.WithMaxConnsPerHost(connections),
+		client.WithKeepAlive(false),
 	)
 	if err != nil {
 		return nil, err
--- a/internal/streamer/client_test.go
+++ b/internal/streamer/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,3 +144,54 @@
 		})
 	}
 }
+
+// Guards against taking a second copy of an answer, late and on a connection that is in use again, for the answer to the next call.
+func TestSecondAnswerIsNotTheNextOne(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var connections atomic.Int64
+	const body = `{}`
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go answerTwice(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		}
+	}()
+	client := newTestClient(t)
+	address := listener.Addr().String()
+	for range 3 {
+		if _, err := client.Requests(context.Background(), address); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * secondAnswerDelay)
+		// The server answers no second request on a connection, so an answer can only be the second copy of the first.
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := client.Load(ctx, address)
+		cancel()
+		if err != nil {
+			t.Fatalf("the call failed: %v", err)
+		}
+	}
+	if got := connections.Load(); got != 6 {
+		t.Errorf("6 calls used %d connections, want one for each", got)
+	}
+}
+
+// secondAnswerDelay is the delay of the second copy of an answer.
+const secondAnswerDelay = 20 * time.Millisecond
+
+func answerTwice(conn net.Conn, answer string) {
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Read(make([]byte, 64<<10))
+	_, _ = conn.Write([]byte(answer))
+	time.Sleep(secondAnswerDelay)
+	_, _ = conn.Write([]byte(answer))
+	_, _ = io.Copy(io.Discard, conn)
+}
--- a/pkg/storer/transport.go
+++ b/pkg/storer/transport.go
@@ -21,10 +21,10 @@
 type Transport struct {
 	base    string
 	timeout time.Duration
-	reader  *client.Client
-	// writer opens a connection for each write. On a reused connection that closes before the response, the HTTP
-	// client would silently retry a PUT or DELETE that may have taken effect.
-	writer *client.Client
+	// client opens a connection for each call. On a reused one, a second copy of an earlier response would be taken for the response to
+	// the call, since responses don't name their request; and if it closed before the response, the client would silently retry a PUT
+	// or DELETE that may have taken effect.
+	client *client.Client
 }
 
 // HTTPRequest is a request to the store. A zero Timeout means the timeout of the transport.
@@ -47,37 +47,28 @@
 
 // NewTransport returns a transport to address (host:port). The timeout applies to each call that sets none.
 func NewTransport(address string, timeout time.Duration) (*Transport, error) {
-	reader, err := newClient(true)
-	if err != nil {
-		return nil, err
-	}
-	writer, err := newClient(false)
-	if err != nil {
-		return nil, err
-	}
-	return &Transport{
-		base:    "http://" + address,
-		timeout: timeout,
-		reader:  reader,
-		writer:  writer,
-	}, nil
-}
-
-func newClient(keepAlive bool) (*client.Client, error) {
-	return client.NewClient(
+	c, err := client.NewClient(
 		client.WithDialTimeout(dialTimeout),
 		// The default dialer sometimes loses a response if the server closes the connection right after it.
 		client.WithDialer(boundedDialer{
 			Dialer: standard.NewDialer(),
 		}),
 		client.WithMaxConnsPerHost(64),
-		client.WithKeepAlive(keepAlive),
+		client.WithKeepAlive(false),
 		config.ClientOption{
 			F: func(o *config.ClientOptions) {
 				o.MaxResponseBodySize = maxResponseBytes
 			},
 		},
 	)
+	if err != nil {
+		return nil, err
+	}
+	return &Transport{
+		base:    "http://" + address,
+		timeout: timeout,
+		client:  c,
+	}, nil
 }
 
 // Do makes the call. It fails with an UnavailableError if no complete response arrives.
@@ -107,11 +98,7 @@
 	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
 		deadline = earlier
 	}
-	sender := t.reader
-	if r.Method != http.MethodGet {
-		sender = t.writer
-	}
-	if err := sender.DoDeadline(ctx, req, resp, deadline); err != nil {
+	if err := t.client.DoDeadline(ctx, req, resp, deadline); err != nil {
 		return Response{}, &UnavailableError{
 			Sent:  !isDialError(err),
 			Cause: err,
