Leave out engines whose first events come late

Change: the median of an engine's last three ratios of observed to predicted time to the first event, against the lateness that a quarter of all recent first events share, is its slowdown from a factor of 2 on. All predictions use it. A first event that is overdue by 2.5 times its prediction counts at once; without news for 2 s the engine is tried again. Streams that run there stay.

Ruled out as a further gain: most late answers of that time are streams that ran on the engines before they turned slow.

The play has engines that turn slow.

--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -29,6 +29,9 @@
 	// helperParts counts the prompts of which this engine prefills a part for another engine.
 	helperParts int
 	failures    int
+	// pace estimates the slowdown, the factor by which the engine is slower than published.
+	pace     pace
+	slowdown float64
 	// backoffSince is when the last backoff began.
 	backoffSince time.Time
 	// backoffUntil is when the engine may be used again after failures.
@@ -52,7 +55,8 @@
 
 func newEngine() *engine {
 	return &engine{
-		runs: map[namer.Request]*run{},
+		runs:     map[namer.Request]*run{},
+		slowdown: 1,
 	}
 }
 
@@ -67,8 +71,9 @@
 // stepTime returns the duration of one token step with the current requests in decode.
 func (e *engine) stepTime() time.Duration {
 	s := &e.Speed
-	return s.Step + time.Duration(e.decoding)*s.StepPerDecodingRequest +
+	published := s.Step + time.Duration(e.decoding)*s.StepPerDecodingRequest +
 		time.Duration(float64(e.contextTokens)/1000*float64(s.StepPerThousandTokens))
+	return time.Duration(e.slowdown * float64(published))
 }
 
 // decodeTime returns the duration of a pass without prefill; it is 0 if no request is in decode.
@@ -82,7 +87,7 @@
 // partTime returns the time that one part of a prompt takes. If requests are in decode, the steps belong to their pass
 // anyway and are not added.
 func (e *engine) partTime(prompt, parts int) time.Duration {
-	work := prefillTime(&e.Speed, prompt, parts)
+	work := time.Duration(e.slowdown * float64(prefillTime(&e.Speed, prompt, parts)))
 	if e.decoding > 0 {
 		return work
 	}
--- a/pkg/scheduler/load_test.go
+++ b/pkg/scheduler/load_test.go
@@ -31,14 +31,45 @@
 	return float64(o.onTime+o.late) / math.Max(1, float64(o.asked))
 }
 
-// loadPlay plays arrivals on engines that behave as the scheduler models them: a request starts when it is expected to, and ends after
-// its output. Callers come back once after a refusal with a delay.
+// slowPeriod is a time in which some engines work slower than published.
+type slowPeriod struct {
+	from, to time.Duration
+	// share is the share of the engines, and factor how much slower they are.
+	share, factor float64
+}
+
+// load is a simulated load on engines.
+type load struct {
+	seed    uint64
+	engines int
+	slots   int
+	// steps are the steps in a pass.
+	steps   int
+	length  time.Duration
+	classes []class
+	slow    slowPeriod
+}
+
+// isSlow reports whether the engine of the given number works slower at a time.
+func (l *load) isSlow(number int, now time.Time) bool {
+	at := now.Sub(start)
+	return at >= l.slow.from && at < l.slow.to && float64(number) < l.slow.share*float64(l.engines)
+}
+
+// loadPlay plays a load on engines that work as the scheduler models them, except for those that are slow: a request starts when its
+// engines have prefilled it, and ends after its output. Callers come back once after a refusal with a delay.
 type loadPlay struct {
-	scheduler *Scheduler
-	random    *rand.Rand
-	events    eventQueue
-	counts    map[string]*outcomeCount
-	requests  map[namer.Request]*playedRequest
+	load
+	// truth are the engines as they are, and numbers their numbers.
+	truth   map[namer.Target]*engine
+	numbers map[namer.Target]int
+	// sentToSlow and sentToAll count the requests placed from a second after engines have turned slow until they recover.
+	sentToSlow, sentToAll int
+	scheduler             *Scheduler
+	random                *rand.Rand
+	events                eventQueue
+	counts                map[string]*outcomeCount
+	requests              map[namer.Request]*playedRequest
 }
 
 type playedRequest struct {
@@ -124,15 +155,61 @@
 
 func (p *loadPlay) placed(now time.Time, d Place) {
 	r := p.requests[d.Request].request
-	first := now.Add(d.Placement.FirstEvent)
-	if first.Sub(r.Arrived) <= r.TargetLatency {
-		p.count(d.Request).onTime++
-	} else {
-		p.count(d.Request).late++
+	e := p.trueEngine(now, d.Placement.Engine)
+	if since := now.Sub(start) - p.slow.from; since > time.Second && now.Sub(start) < p.slow.to {
+		p.sentToAll++
+		if p.isSlow(p.numbers[d.Placement.Engine], now) {
+			p.sentToSlow++
+		}
+	}
+	first := p.prefill(now, r, d.Placement)
+	p.at(first, func(now time.Time) {
+		p.trueEngine(now, d.Placement.Engine)
+		e.remove(r.ID)
+		e.decoding++
+		e.contextTokens += r.PromptTokens
+		if now.Sub(r.Arrived) <= r.TargetLatency && e.decodeTime() <= r.MaxPause {
+			p.count(d.Request).onTime++
+		} else {
+			p.count(d.Request).late++
+		}
+		p.scheduler.Started(now, d.Request)
+		writes := time.Duration(float64(r.OutputTokens) * 1.3 * float64(e.stepTime()))
+		p.at(now.Add(writes), func(now time.Time) {
+			e.decoding--
+			e.contextTokens -= r.PromptTokens
+			p.scheduler.Ended(now, d.Request, Finished, "")
+		})
+	})
+}
+
+// trueEngine returns an engine as it is at a time.
+func (p *loadPlay) trueEngine(now time.Time, id namer.Target) *engine {
+	e := p.truth[id]
+	e.slowdown = 1
+	if p.isSlow(p.numbers[id], now) {
+		e.slowdown = p.slow.factor
+	}
+	return e
+}
+
+// prefill lets the true engines of a placement prefill their parts, and returns when the last one is done.
+func (p *loadPlay) prefill(now time.Time, r Request, c Placement) time.Time {
+	parts := len(c.Helpers) + 1
+	engines := []*engine{p.trueEngine(now, c.Engine)}
+	for _, h := range c.Helpers {
+		engines = append(engines, p.trueEngine(now, h.Engine))
+	}
+	work := &run{request: r, helpers: engines[1:]}
+	last := now
+	for _, e := range engines {
+		part := e.partTime(r.PromptTokens, parts)
+		if done := e.finishTime(now, part, DefaultSettings().Transit, parts > 1); done.After(last) {
+			last = done
+		}
+		e.enqueue(now, work, part, DefaultSettings().Transit)
 	}
-	p.at(first, func(now time.Time) { p.scheduler.Started(now, d.Request) })
-	writes := time.Duration(float64(r.OutputTokens) * 1.3 * float64(speed.Step))
-	p.at(first.Add(writes), func(now time.Time) { p.scheduler.Ended(now, d.Request, Finished, "") })
+	return last
 }
 
 func (p *loadPlay) refused(now time.Time, d Refuse) {
@@ -148,23 +225,30 @@
 	})
 }
 
-// playClasses plays the classes for a time on engines of the given number and slots.
-func playClasses(seed uint64, engines, slots, steps int, length time.Duration, classes []class) map[string]*outcomeCount {
-	list := fleet(engines)
-	for i := range list {
-		list[i].Slots = slots
-		list[i].Speed.StepsPerPass = steps
-	}
+// play plays a load.
+func play(l load) *loadPlay {
+	list := fleet(l.engines)
 	s := New(DefaultSettings())
-	s.SetEngines(list)
 	p := &loadPlay{
+		load:      l,
 		scheduler: s,
-		random:    rand.New(rand.NewPCG(seed, 1)),
+		random:    rand.New(rand.NewPCG(l.seed, 1)),
 		counts:    map[string]*outcomeCount{},
 		requests:  map[namer.Request]*playedRequest{},
+		truth:     map[namer.Target]*engine{},
+		numbers:   map[namer.Target]int{},
 	}
-	end := start.Add(length)
-	for _, c := range classes {
+	for i := range list {
+		list[i].Slots = l.slots
+		list[i].Speed.StepsPerPass = l.steps
+		e := newEngine()
+		e.Engine = list[i]
+		p.truth[list[i].ID] = e
+		p.numbers[list[i].ID] = i
+	}
+	s.SetEngines(list)
+	end := start.Add(l.length)
+	for _, c := range l.classes {
 		p.at(start, func(now time.Time) { p.arrive(now, end, c) })
 	}
 	nextDecision := start
@@ -178,20 +262,31 @@
 		p.decide(nextDecision)
 		nextDecision = nextDecision.Add(5 * time.Millisecond)
 	}
-	return p.counts
+	return p
+}
+
+// mix returns the classes of the users' requests with the given numbers a second.
+func mix(statements, ledgers, reviews float64) []class {
+	return []class{
+		{name: "statement", perSecond: statements, prompt: 4_960, spread: 0.9, most: 23_800, output: 1_540, target: 400 * time.Millisecond, pause: 250 * time.Millisecond, limit: 10 * time.Second},
+		{name: "ledger", perSecond: ledgers, prompt: 45_000, spread: 0.5, most: 110_000, output: 925, target: 1500 * time.Millisecond, pause: 600 * time.Millisecond, limit: 10 * time.Second},
+		{name: "review", perSecond: reviews, prompt: 190_000, spread: 0.55, most: 600_000, output: 770, target: 3 * time.Second, pause: time.Second, limit: 15 * time.Second},
+	}
 }
 
 // Guards against refusing the prompts that exceed one engine's memory while the engines have room for all others (pattern: a burst of
 // reviews on many engines with few slots, scale-1 of the large site). The users' gate asks that the largest prompts of a kind are
 // served at least half as often as the kind, over the whole day.
 func TestPromptsBeyondOneEngineInABurst(t *testing.T) {
-	classes := []class{
-		{name: "statement", perSecond: 60, prompt: 4_960, spread: 0.9, most: 23_800, output: 1_540, target: 400 * time.Millisecond, pause: 250 * time.Millisecond, limit: 10 * time.Second},
-		{name: "ledger", perSecond: 16, prompt: 45_000, spread: 0.5, most: 110_000, output: 925, target: 1500 * time.Millisecond, pause: 600 * time.Millisecond, limit: 10 * time.Second},
-		{name: "review", perSecond: 17, prompt: 190_000, spread: 0.55, most: 600_000, output: 770, target: 3 * time.Second, pause: time.Second, limit: 15 * time.Second},
-	}
 	for seed := range uint64(4) {
-		counts := playClasses(seed, 112, 10, 68, 10*time.Second, classes)
+		counts := play(load{
+			seed:    seed,
+			engines: 112,
+			slots:   10,
+			steps:   68,
+			length:  10 * time.Second,
+			classes: mix(60, 16, 17),
+		}).counts
 		largest, others := counts["review, beyond one engine"], counts["review"]
 		if largest == nil || others == nil {
 			t.Fatalf("seed %d: the load lacks reviews: %v", seed, counts)
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -337,6 +337,7 @@
 		reserved: c.reserved,
 		tokens:   r.plannedMemory(),
 		placedAt: now,
+		slowdown: first.slowdown,
 	}
 	s.running[r.ID] = placed
 	parts := len(c.helpers) + 1
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -29,6 +29,7 @@
 	// candidateBuffer and optionBuffer are reused between calls to avoid allocations.
 	candidateBuffer []*engine
 	optionBuffer    []option
+	recentPaces     recentPaces
 }
 
 // run is a request that has been placed.
@@ -44,6 +45,9 @@
 	firstEventExpected time.Time
 	// failureCounted is set once an overdue first event has been counted as a failure of the engine.
 	failureCounted bool
+	// slowdown is the engine's slowdown when the run was placed; paceObserved is set once the run was compared with its prediction.
+	slowdown     float64
+	paceObserved bool
 	// objectiveMissed is set once the answer missed its latency or pause objective; further pauses then cost nothing.
 	objectiveMissed bool
 }
@@ -120,6 +124,8 @@
 	// Running counts placed requests, and Decoding those past their first event.
 	Running  int
 	Decoding int
+	// Slow counts the engines that work slower than published.
+	Slow int
 	// Idle counts the engines without requests or parts of prompts.
 	Idle int
 	// FreeSlots and FreeTokens are totals over all engines.
@@ -144,6 +150,9 @@
 		if now.Before(e.backoffUntil) {
 			load.Avoided++
 		}
+		if e.slowdown > 1 {
+			load.Slow++
+		}
 		if len(e.runs) == 0 && e.helperParts == 0 {
 			load.Idle++
 		}
@@ -183,6 +192,7 @@
 		return
 	}
 	r.started = true
+	s.observeFirstEvent(now, r)
 	r.objectiveMissed = now.Sub(r.request.Arrived) > r.request.TargetLatency
 	e := r.engine
 	e.advance(now)
