Ask the seeds for the leader before the store at the start

Cause: each instance that starts read the pointer to the leader, and most also tried to write it: 600 calls when 300 instances start, 301 after a loss of power (model test).

Change: an instance that isn't a seed asks the seeds for up to 0.8 s, one each 50 ms, and reads the store only then.

Test: TestStartOfManyNeedsFewStoreCalls (600 and 301 before, at most 30 allowed); TestAllRestarted's bound of 200 ms holds.

--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,10 @@
 	StandbySilence time.Duration
 	// StandbySpread is the period over which the instances on standby join again after the loss of their leader.
 	StandbySpread time.Duration
+	// SeedTime is how long an instance that has just started asks its seeds for the leader before it reads the store, and SeedRetry the
+	// pause between two seeds. Hundreds may start at once, and each call to the store has a cost.
+	SeedTime  time.Duration
+	SeedRetry time.Duration
 	// Retry is how long an instance that reached no peer leads only itself before it searches again.
 	Retry time.Duration
 }
@@ -44,6 +49,8 @@
 		StandbyPing:       time.Second,
 		StandbySilence:    3 * time.Second,
 		StandbySpread:     time.Second,
+		SeedTime:          800 * time.Millisecond,
+		SeedRetry:         50 * time.Millisecond,
 		Retry:             time.Second,
 	}
 }
@@ -134,14 +141,18 @@
 	// standby is set while callers aren't told to use this instance.
 	standby bool
 	// rejoin is set if the next step is to join the leader again, to which the connection was lost.
-	rejoin    bool
-	lastHeard time.Time
-	lastPing  time.Time
+	rejoin bool
+	// seeds are the peers to ask at the start, nextSeed counts those asked, and seedsUntil is when the store is read instead.
+	seeds      []Peer
+	nextSeed   int
+	seedsUntil time.Time
+	lastHeard  time.Time
+	lastPing   time.Time
 }
 
 // New returns a convener in the role Searching; rank determines how long this instance waits before it tries to lead.
 func New(settings Settings, self Peer, rank int, succession []Peer) *Convener {
-	return &Convener{
+	c := &Convener{
 		settings:    settings,
 		self:        self,
 		spread:      spreadOf(self.Name),
@@ -149,6 +160,10 @@
 		succession:  succession,
 		unreachable: map[string]time.Time{},
 	}
+	if !slices.ContainsFunc(succession, func(p Peer) bool { return p.Address == self.Address }) {
+		c.seeds = succession
+	}
+	return c
 }
 
 // spreadOf returns a number from 0 to 1 that differs between instances.
@@ -205,18 +220,21 @@
 		}
 	case Searching, Leading:
 		if !c.actionPending && !now.Before(c.nextStep) {
-			return c.search()
+			return c.search(now)
 		}
 	}
 	return nil
 }
 
 // search returns the next action of the search.
-func (c *Convener) search() []Action {
+func (c *Convener) search(now time.Time) []Action {
 	if c.rejoin {
 		c.rejoin = false
 		return c.join(c.leader)
 	}
+	if p, found := c.seed(now); found {
+		return c.join(p)
+	}
 	c.actionPending = true
 	if c.claimNext {
 		c.claimNext = false
@@ -227,6 +245,24 @@
 	return []Action{ReadPointer{}}
 }
 
+// seed returns the next seed to ask for the leader; there is none unless this instance has just started.
+func (c *Convener) seed(now time.Time) (Peer, bool) {
+	if len(c.seeds) == 0 {
+		return Peer{}, false
+	}
+	if c.seedsUntil.IsZero() {
+		c.seedsUntil = now.Add(c.settings.SeedTime)
+	}
+	if now.After(c.seedsUntil) {
+		c.seeds = nil
+		return Peer{}, false
+	}
+	c.nextStep = now.Add(c.settings.SeedRetry)
+	p := c.seeds[c.nextSeed%len(c.seeds)]
+	c.nextSeed++
+	return p, true
+}
+
 // leaderTimedOut marks the leader as unreachable and starts a search.
 func (c *Convener) leaderTimedOut(now time.Time) []Action {
 	c.unreachable[c.leader.Name] = now.Add(c.settings.Unreachable)
@@ -343,6 +379,7 @@
 
 // Joined records that a peer has accepted this instance as a follower.
 func (c *Convener) Joined(now time.Time, p Peer) {
+	c.seeds = nil
 	c.setRole(Following)
 	c.leader = p
 	c.lastHeard = now
@@ -353,6 +390,9 @@
 // that answered at its address, and to the leader that it named, empty if it knows none.
 func (c *Convener) Redirected(now time.Time, from, answerer, to Peer) []Action {
 	c.actionPending = false
+	if len(c.seeds) > 0 && to.Address == "" {
+		return nil
+	}
 	if from == c.pointer.Leader && answerer.Name != from.Name {
 		// The leader's process was restarted, so the process that the store names is gone.
 		return c.JoinFailed(now, from)
@@ -372,6 +412,10 @@
 // JoinFailed records that a peer could not be joined.
 func (c *Convener) JoinFailed(now time.Time, p Peer) []Action {
 	c.actionPending = false
+	if len(c.seeds) > 0 {
+		// The next seed is asked after the pause that began with this one.
+		return nil
+	}
 	c.unreachable[p.Name] = now.Add(c.settings.Unreachable)
 	if c.peersTried > 0 {
 		return c.joinNextPeer(now)
--- a/pkg/convener/model_test.go
+++ b/pkg/convener/model_test.go
@@ -15,6 +15,8 @@
 	down    bool
 	nodes   []*node
 	pending []call
+	// storeCalls counts the reads and writes of the pointer.
+	storeCalls int
 }
 
 type node struct {
@@ -131,6 +133,10 @@
 }
 
 func (w *cluster) perform(n *node, action Action) []Action {
+	switch action.(type) {
+	case ReadPointer, WritePointer:
+		w.storeCalls++
+	}
 	switch a := action.(type) {
 	case ReadPointer:
 		if w.down {
@@ -200,6 +206,29 @@
 	}
 }
 
+// Guards against a number of calls to the store that grows with the deployment when all instances start at once, and when they start
+// again after a loss of power; each call has a cost. A tenth of the instances may need one.
+func TestStartOfManyNeedsFewStoreCalls(t *testing.T) {
+	const nodes = 300
+	w := newCluster(nodes)
+	w.run(3 * time.Second)
+	w.assertOneLeader(t)
+	seedPeers := w.nodes[0].succession
+	if w.storeCalls > nodes/10 {
+		t.Errorf("%d calls to the store at the start of %d instances", w.storeCalls, nodes)
+	}
+	w.storeCalls = 0
+	for i, n := range w.nodes {
+		n.start(n.self.Address, i, seedPeers)
+	}
+	w.pending = nil
+	w.run(3 * time.Second)
+	w.assertOneLeader(t)
+	if w.storeCalls > nodes/10 {
+		t.Errorf("%d calls to the store at the start of %d instances after a loss of power", w.storeCalls, nodes)
+	}
+}
+
 // Guards against a long time without a leader after the leader, the last process to write the pointer conditionally, is
 // killed (scenario node_kill, leader).
 func TestLeaderKilled(t *testing.T) {
