Cut no request at a planned stop under load

With callers that go on using its address, on new and kept connections, requests that had reached a target were cut off (new test, each of its stops).

Change: a leaving instance refuses, as not run, calls whose time would outlast it; 0.7 s before its end it stops accepting connections and waits for the last answers.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -56,6 +56,8 @@
 	// minLeaveTime is the shortest time that a leaving instance keeps serving: callers cache an address for up to three times its
 	// validity.
 	minLeaveTime = 3500 * time.Millisecond
+	// closingTime is reserved before the end for the requests on connections that were accepted last.
+	closingTime = 700 * time.Millisecond
 	// logFlushTime is the delay before the exit in which the last log lines are written. The log isn't closed, since other
 	// goroutines may still use it.
 	logFlushTime = 50 * time.Millisecond
@@ -162,21 +164,30 @@
 	clock := i.options.Factory.Clock
 	began := clock.Now()
 	i.logger.Info().Int("active", i.receiver.Active()).Msg("gateway: leaving")
-	i.receiver.Leave(began)
-	i.control.Leave()
 	latest := began.Add(i.settings.Gateway.GracePeriod - exitMargin)
-	for clock.Now().Before(latest) {
-		if i.receiver.Drained() && clock.Now().Sub(began) > minLeaveTime {
-			break
-		}
-		<-clock.After(drainPollInterval)
-	}
+	i.receiver.Leave(began, latest.Add(-closingTime))
+	i.control.Leave()
+	i.waitDrained(began.Add(minLeaveTime), latest.Add(-closingTime))
+	// Requests that arrive until the process ends would be cut off.
+	i.receiver.StopAccepting()
+	i.waitDrained(clock.Now().Add(drainPollInterval), latest)
 	i.logger.Info().Int("active", i.receiver.Active()).Dur("took", clock.Now().Sub(began)).
 		Int64("lines_dropped", i.output.Dropped()).Msg("gateway: left")
 	time.Sleep(logFlushTime)
 	return nil
 }
 
+// waitDrained waits until all requests have ended, but not less than until earliest and not longer than until latest.
+func (i *instance) waitDrained(earliest, latest time.Time) {
+	clock := i.options.Factory.Clock
+	for now := clock.Now(); now.Before(latest); now = clock.Now() {
+		if now.After(earliest) && i.receiver.Drained() {
+			return
+		}
+		<-clock.After(drainPollInterval)
+	}
+}
+
 func (i *instance) build() error {
 	incarnation := make([]byte, incarnationBytes)
 	if _, err := rand.Read(incarnation); err != nil {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -292,7 +292,7 @@
 // refusal whose handler returned just as a leaving process counted its active requests.
 func TestDrainedWaitsForAnswersToBeSent(t *testing.T) {
 	f := newFixture(t, "plain", io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "ok") })
-	f.server.Leave(time.Now())
+	f.server.Leave(time.Now(), time.Now().Add(time.Minute))
 	got := f.ask(context.Background(), "GET", "/look/x")
 	assertStatus(t, got, http.StatusOK)
 	if f.server.Drained() {
@@ -307,7 +307,7 @@
 // Guards against streams that start shortly before the process exits and would be cut off.
 func TestLeavingRefusesStreams(t *testing.T) {
 	f := newFixture(t, "engine", io.Discard, engine(0))
-	f.server.Leave(time.Now().Add(-refuseLateAfter - time.Second))
+	f.server.Leave(time.Now().Add(-refuseLateAfter-time.Second), time.Now().Add(time.Minute))
 	got := f.ask(context.Background(), "POST", "/stream/x")
 	assertStatus(t, got, http.StatusServiceUnavailable)
 	if got.header.Get("Retry-After") == "" {
@@ -396,3 +396,17 @@
 		t.Errorf("%s are left after a pause, want %s", got, remaining-pause)
 	}
 }
+
+// Guards against calls that are accepted by a leaving instance and cut off by its end (fault roll_term under load).
+func TestLeavingRefusesCallsThatCouldOutlastIt(t *testing.T) {
+	f := newFixture(t, "plain", io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "ok") })
+	now := time.Now()
+	f.server.Leave(now, now.Add(time.Second))
+	short := func(r *http.Request) { r.Header.Set(names.RemainingMilliseconds, "300") }
+	assertStatus(t, f.ask(context.Background(), "GET", "/look/x", short), http.StatusOK)
+	got := f.ask(context.Background(), "GET", "/look/x")
+	assertStatus(t, got, http.StatusServiceUnavailable)
+	if got.header.Get("Retry-After") == "" {
+		t.Error("Retry-After is missing")
+	}
+}
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -55,6 +55,8 @@
 	lastReturn atomic.Int64
 	// leavingSince is when the instance began to leave, in Unix nanoseconds; 0 before that.
 	leavingSince atomic.Int64
+	// leavingUntil is when the process ends at the latest, in Unix nanoseconds.
+	leavingUntil atomic.Int64
 	pauses       *detector.Detector
 }
 
@@ -111,11 +113,20 @@
 	return s.Active() == 0 && s.options.Clock.Now().Sub(time.Unix(0, s.lastReturn.Load())) > flushTime
 }
 
-// Leave makes the server close each connection after its answer and, from refuseLateAfter on, refuse requests to engines.
-func (s *Server) Leave(now time.Time) {
+// Leave makes the server close each connection after its answer and refuse requests that could outlast the process, which ends at the
+// given time at the latest.
+func (s *Server) Leave(now, end time.Time) {
+	s.leavingUntil.Store(end.UnixNano())
 	s.leavingSince.Store(now.UnixNano())
 }
 
+// StopAccepting closes the listener; requests on open connections are still served.
+func (s *Server) StopAccepting() {
+	if err := s.options.Listener.Close(); err != nil {
+		s.options.Log.Error().Err(err).Msg("receiver: closing the listener failed")
+	}
+}
+
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	s.active.Add(1)
 	defer func() {
@@ -218,7 +229,15 @@
 // refuseLate refuses a request that could outlast the grace period of a leaving instance; nil if it may go on.
 func (s *Server) refuseLate(r *request) *refusal {
 	began := s.leavingSince.Load()
-	if began == 0 || r.service.Engine == nil || r.received.Sub(time.Unix(0, began)) < refuseLateAfter {
+	if began == 0 {
+		return nil
+	}
+	late := r.deadline.After(time.Unix(0, s.leavingUntil.Load()))
+	if r.service.Engine != nil {
+		// Most streams end long before their deadline.
+		late = r.received.Sub(time.Unix(0, began)) >= refuseLateAfter
+	}
+	if !late {
 		return nil
 	}
 	f := unavailable(reasonLeaving, "this instance is leaving: use another address", leavingRetry)
