Survive unexpected errors, and publish views in batches

Change: a panic ends its request (502, which doesn't deny that it has run) or its step of control, with a log line and a metric; the connection to the peer whose message it was is closed. Views are at least 10 ms and four times their own cost apart.

Tests: TestPanicEndsOneRequest, TestPanicDropsOneMessage (both ended the test process before), TestManyTargetsArePublishedInBatches (a view for each target before).

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -99,6 +100,8 @@
 	receiver *receiver.Server
 	status   *receiver.StatusServer
 	output   *dropper.Dropper
+	// panics counts the requests and control steps that a panic has ended.
+	panics atomic.Int64
 }
 
 // run serves until the context ends, and then drains the instance.
@@ -248,10 +251,15 @@
 		Director:  director.DefaultSettings(),
 
 		ProcessorTime: processorTime,
+		OnPanic:       i.countPanic,
 	})
 	return i.listen()
 }
 
+func (i *instance) countPanic() {
+	i.panics.Add(1)
+}
+
 // processorTime returns the processor time that the process has used; 0 if the system doesn't tell.
 func processorTime() time.Duration {
 	var r syscall.Rusage
@@ -277,6 +285,10 @@
 		Name: "bergamothollow_log_lines_dropped_total",
 		Help: "Lines that were not logged, since the output did not keep up or a second had too many.",
 	}, func() float64 { return float64(i.output.Dropped()) }))
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bergamothollow_gateway_panics_total",
+		Help: "Requests and control steps that an unexpected error in the program has ended.",
+	}, func() float64 { return float64(i.panics.Load()) }))
 	g := s.Gateway
 	i.receiver = receiver.New(receiver.Options{
 		Listener: listeners[s.Listen.Callers],
@@ -291,6 +303,7 @@
 		Clock:   i.options.Factory.Clock,
 		Log:     i.logger,
 		Metrics: receiver.NewMetrics(registry),
+		OnPanic: i.countPanic,
 	})
 	i.status = receiver.NewStatusServer(receiver.StatusOptions{
 		Readiness:   listeners[g.Readiness],
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -55,6 +57,8 @@
 	Balancer  balancer.Settings
 	Convener  convener.Settings
 	Director  director.Settings
+	// OnPanic is called for each step that a panic has ended, to count it; it may be nil.
+	OnPanic func()
 	// ProcessorTime returns the processor time that the process has used; nil means that it isn't known.
 	ProcessorTime func() time.Duration
 }
@@ -107,8 +111,9 @@
 	lostLeader           string
 	previousMembersUntil time.Time
 	loadLogged           time.Time
-	// nextDecision is the earliest time of the next decision.
+	// nextDecision is the earliest time of the next decision, and nextPublish that of the next view.
 	nextDecision time.Time
+	nextPublish  time.Time
 	// rank is this instance's rank in the leader's succession, -1 if unknown.
 	rank int
 	// objects are the objects of the store that this instance knows.
@@ -228,21 +233,59 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.messages:
-			c.handle(ctx, m)
+			c.handleMessage(ctx, m)
 			c.handlePending(ctx)
 		case <-upkeep:
 			upkeep = c.options.Clock.After(upkeepInterval)
-			c.upkeep(ctx)
+			c.safely("upkeep", func() { c.upkeep(ctx) })
 		case <-decide:
 		}
-		if c.viewOutdated {
-			c.viewOutdated = false
-			c.publish()
+		c.safely("publish", c.publishIfDue)
+		decide = nil
+		c.safely("decide", func() { decide = c.decideNext() })
+	}
+}
+
+// safely calls f and reports whether it returned. An unexpected error in one step must not end the process and with it all requests.
+func (c *Coordinator) safely(step string, f func()) (returned bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.options.Log.Error().Str("step", step).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).
+				Msg("coordinator: step ended by a panic")
+			if c.options.OnPanic != nil {
+				c.options.OnPanic()
+			}
 		}
-		decide = c.decideNext()
+	}()
+	f()
+	return true
+}
+
+// handleMessage handles a message. If that panics, the connection to the peer that sent it is closed, since what it believes and what
+// this instance believes may differ.
+func (c *Coordinator) handleMessage(ctx context.Context, m message) {
+	if c.safely(fmt.Sprintf("%T", m), func() { c.handle(ctx, m) }) {
+		return
+	}
+	if p, ok := m.(peerMessage); ok && p.link != nil {
+		p.link.close()
 	}
 }
 
+// publishIfDue publishes the view if it is outdated and the pause since the last time is over; otherwise a round of upkeep does it
+// soon. A list of thousands of targets arrives one by one, and each view contains them all.
+func (c *Coordinator) publishIfDue() {
+	clock := c.options.Clock
+	now := clock.Now()
+	if !c.viewOutdated || now.Before(c.nextPublish) {
+		return
+	}
+	c.viewOutdated = false
+	c.publish()
+	after := clock.Now()
+	c.nextPublish = after.Add(max(publishInterval, decidePauseFactor*after.Sub(now)))
+}
+
 // decideNext makes a decision if the pause since the last one is over, and returns a timer for the next one; nil means at
 // the next message.
 func (c *Coordinator) decideNext() <-chan time.Time {
@@ -265,7 +308,7 @@
 	for {
 		select {
 		case m := <-c.messages:
-			c.handle(ctx, m)
+			c.handleMessage(ctx, m)
 		default:
 			return
 		}
@@ -339,6 +382,7 @@
 func (c *Coordinator) handleLeave() {
 	c.leaving = true
 	c.viewOutdated = true
+	c.nextPublish = time.Time{}
 	c.ping()
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -575,3 +575,15 @@
 		t.Error("the rules were lost")
 	}
 }
+
+// Guards against a process that ends because of one malformed message of a peer, or an unexpected error while it is handled.
+func TestPanicDropsOneMessage(t *testing.T) {
+	store := newStore()
+	putRules(store, 1)
+	putEngine(store, "a")
+	c := startInstance(t, store, 0)
+	eventually(t, 5*time.Second, "rules", func() bool { return c.knows(1, 1) })
+	// A message without a link can't be handled.
+	c.messages <- peerMessage{method: methodJoin}
+	place(t, c, "after")
+}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -96,7 +96,10 @@
 // decideInterval is the interval of decisions while requests are queued, since an engine may become free at any time.
 const decideInterval = 5 * time.Millisecond
 
-// decidePauseFactor is the pause after a decision, as a multiple of the time that the decision took. The pause leaves time
+// publishInterval is the minimum interval between two views.
+const publishInterval = 10 * time.Millisecond
+
+// decidePauseFactor is the pause after a decision or a view, as a multiple of the time that it took. The pause leaves time
 // for messages of followers, which drop a leader that is silent for 0.8 s.
 const decidePauseFactor = 4
 
--- a/internal/coordinator/scale_test.go
+++ b/internal/coordinator/scale_test.go
@@ -182,3 +182,33 @@
 		t.Errorf("%d instances are listed after the load, want %d", after, quiet)
 	}
 }
+
+// Guards against a view of all targets for each of thousands that a store's list brings, which kept an instance from serving for 14 s
+// after a loss of power (pattern: all killed, 3,000 engines).
+func TestManyTargetsArePublishedInBatches(t *testing.T) {
+	f := newFleetLeader(t)
+	const targets, spacing = 3000, 100 * time.Microsecond
+	views := 0
+	last := f.leader.View()
+	for i := range targets {
+		name := fmt.Sprint("new-", i)
+		f.leader.handleStoreChange(f.clock.now, storer.Event{
+			Type:   storer.EventPut,
+			Object: storer.Object{Kind: kindTargets, Name: name, Version: int64(1000 + i), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))},
+		})
+		f.leader.publishIfDue()
+		if v := f.leader.View(); v != last {
+			views++
+			last = v
+		}
+		f.clock.now = f.clock.now.Add(spacing)
+	}
+	if most := int(targets*spacing/publishInterval) + 1; views > most {
+		t.Errorf("%d views of %d targets, want at most %d", views, targets, most)
+	}
+	f.clock.now = f.clock.now.Add(publishInterval)
+	f.leader.publishIfDue()
+	if got := len(f.leader.View().Catalogue.Targets); got != targets+120 {
+		t.Errorf("the last view has %d targets, want %d", got, targets+120)
+	}
+}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -410,3 +410,24 @@
 		t.Error("Retry-After is missing")
 	}
 }
+
+// Guards against a process that ends, with all its requests, because of an unexpected error in one of them.
+func TestPanicEndsOneRequest(t *testing.T) {
+	var panics atomic.Int64
+	f := newFixture(t, "plain", io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "ok") })
+	broken := New(Options{
+		Listener: listen(t),
+		Clock:    timer.System{},
+		Log:      f.server.options.Log,
+		OnPanic:  func() { panics.Add(1) },
+	})
+	go func() { _ = broken.Run() }()
+	// Without a Control, each request of the server panics.
+	unexpected := fixture{url: "http://" + broken.options.Listener.Addr().String()}
+	for range 3 {
+		assertStatus(t, unexpected.ask(context.Background(), "POST", "/pay/x"), http.StatusBadGateway)
+	}
+	if panics.Load() != 3 {
+		t.Errorf("%d panics were counted, want 3", panics.Load())
+	}
+}
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +46,8 @@
 	Clock    timer.Clock
 	Log      *log.Logger
 	Metrics  *Metrics
+	// OnPanic is called for each request that a panic has ended, to count it; it may be nil.
+	OnPanic func()
 }
 
 // Server serves the callers' requests.
@@ -133,8 +137,14 @@
 		s.lastReturn.Store(s.options.Clock.Now().UnixNano())
 		s.active.Add(-1)
 	}()
+	w := &writer{
+		server:  s,
+		context: c,
+	}
+	defer s.recoverRequest(w)
 	c.SetStatusCode(http.StatusOK)
 	r := s.read(c, s.received())
+	w.request = r
 	if s.leavingSince.Load() != 0 {
 		c.SetConnectionClose()
 	}
@@ -146,11 +156,6 @@
 	s.options.Budget.CountRequest(r.received)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	w := &writer{
-		server:  s,
-		context: c,
-		request: r,
-	}
 	var f *refusal
 	if r.service.Engine != nil {
 		f = s.stream(ctx, r, w)
@@ -160,6 +165,30 @@
 	s.finish(ctx, r, w, f)
 }
 
+// recoverRequest ends a request whose handler panics: other requests of the process go on. Its caller isn't told that it hasn't run.
+func (s *Server) recoverRequest(w *writer) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if s.options.OnPanic != nil {
+		s.options.OnPanic()
+	}
+	id := ""
+	if w.request != nil {
+		id = string(w.request.id)
+	}
+	s.options.Log.Error().Str("request", id).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).
+		Msg("receiver: request ended by a panic")
+	if w.begun {
+		w.abort()
+		return
+	}
+	w.context.Response.Reset()
+	w.context.SetConnectionClose()
+	w.context.SetStatusCode(http.StatusBadGateway)
+}
+
 // received returns the earliest time at which a request that is read now may have been sent.
 func (s *Server) received() time.Time {
 	now := s.options.Clock.Now()
