--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/phuslu/log"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
@@ -414,11 +415,10 @@
 // Guards against a process that ends, with all its requests, because of an unexpected error in one of them.
 func TestPanicEndsOneRequest(t *testing.T) {
 	var panics atomic.Int64
-	f := newFixture(t, "plain", io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, "ok") })
 	broken := New(Options{
 		Listener: listen(t),
 		Clock:    timer.System{},
-		Log:      f.server.options.Log,
+		Log:      &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		OnPanic:  func() { panics.Add(1) },
 	})
 	go func() { _ = broken.Run() }()
