Close callers' connections that trickle a request

Change: a connection ends if a request isn't complete a minute after its first byte; an answer ends the count.

Tests: TestTricklingCallerIsClosed failed before. TestSlowStreamIsKept (an event after nine tenths of each allowed pause, one send) and TestTricklingAnswerEndsAtItsBound (a byte each 0.1 s within the header or an event) passed as found: progress is counted by whole events.

--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -72,12 +72,15 @@
 	review := route("review", matcher.Streaming, "engine")
 	review.Timeout = 15 * time.Second
 	review.MaxPause = time.Second
+	slow := route("slow", matcher.Streaming, "engine")
+	slow.Timeout = 15 * time.Second
 	return matcher.Rules{
 		Version:     1,
 		KeyRequired: true,
 		Routes: []matcher.Route{
 			route("stream", matcher.Streaming, "engine"),
 			review,
+			slow,
 			route("pay", matcher.NonIdempotent, "plain"),
 			route("look", matcher.Idempotent, "plain"),
 		},
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -82,7 +82,10 @@
 	hlog.SetSilentMode(true)
 	hlog.SetLevel(hlog.LevelFatal)
 	return server.New(
-		server.WithListener(listener),
+		server.WithListener(boundedListener{
+			Listener: listener,
+			clock:    timer.System{},
+		}),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(maxBodyBytes),
