--- a/internal/coordinator/scale_test.go
+++ b/internal/coordinator/scale_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"bergamothollow.example/bergamothollow/pkg/cataloguer"
 	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
 )
@@ -212,3 +214,44 @@
 		t.Errorf("the last view has %d targets, want %d", got, targets+120)
 	}
 }
+
+// Guards against running work that is given up or started again because the instance that runs it was silent for a while: its follower
+// keeps it, and reports it to the leader that it joins again (faults node_freeze, node_slow).
+func TestWorkOfASilentFollowerIsKept(t *testing.T) {
+	f := newFleetLeader(t)
+	now := f.clock.now
+	entry, _ := json.Marshal(cataloguer.Target{ID: "engine", Service: "scribe", Slots: 16})
+	f.leader.applyChange(now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "engine", Version: 900, Value: entry}})
+	f.clock.now = now.Add(announceDelay)
+	f.leader.publish()
+
+	follower := New(f.leader.options)
+	request := scheduler.Request{ID: "r", Service: "scribe", PromptTokens: 1000, OutputTokens: 100, Arrived: now, TargetLatency: time.Second, Deadline: now.Add(10 * time.Second)}
+	follower.placed["r"] = &placedRequest{request: request, placement: scheduler.Placement{Engine: "engine"}, started: true}
+	reports := func() int {
+		l := &link{conn: closedConn(t), closed: make(chan struct{}), sendQueue: make(chan func() error, linkQueue)}
+		follower.follow(f.clock.now, joinResult{link: l, answer: joinAnswer{Accepted: true, Self: convener.Peer{Name: "leader"}}})
+		return len(l.sendQueue)
+	}
+	if got := reports(); got != 1 {
+		t.Fatalf("%d messages of running work, want 1", got)
+	}
+	follower.stopFollowing()
+	if len(follower.placed) != 1 {
+		t.Fatal("the follower gave up its running work with its leader")
+	}
+	if got := reports(); got != 1 {
+		t.Errorf("%d messages of running work after joining again, want 1", got)
+	}
+
+	adopt, _ := json.Marshal(adoptMessage{Request: encodeRequest(now, request), Placement: scheduler.Placement{Engine: "engine"}, Started: true})
+	for range 2 {
+		f.join(t, len(f.links))
+		l := f.links[len(f.links)-1]
+		f.leader.handlePeerMessage(f.clock.now, peerMessage{link: l, method: methodAdopt, params: adopt})
+		if got := f.leader.scheduler.Running(); got != 1 {
+			t.Errorf("the leader counts %d running requests, want 1", got)
+		}
+		f.leader.handleLinkClosed(t.Context(), f.clock.now, l)
+	}
+}
