--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -245,11 +245,10 @@
 		Catalogue: cataloguer.Settings{
 			ReregistrationTime: targetReregistrationTime,
 		},
-		Scheduler: schedulerSettings,
-		Balancer:  balancer.DefaultSettings(),
-		Convener:  convener.DefaultSettings(),
-		Director:  director.DefaultSettings(),
-
+		Scheduler:     schedulerSettings,
+		Balancer:      balancer.DefaultSettings(),
+		Convener:      convener.DefaultSettings(),
+		Director:      director.DefaultSettings(),
 		ProcessorTime: processorTime,
 		OnPanic:       i.countPanic,
 	})
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -560,7 +560,8 @@
 	c.loadLogged = now
 	c.options.Log.Info().Str("role", c.role.String()).Int("engines", load.Engines).Int("avoided", load.Avoided).
 		Int("queued", load.Queued).Int("running", load.Running).Int("writing", load.Decoding).
-		Int("slow", load.Slow).Int("idle", load.Idle).Int("free_slots", load.FreeSlots).Int("free_tokens", load.FreeTokens).Dur("longest_pass", load.LongestPass).
+		Int("slow", load.Slow).Int("idle", load.Idle).Int("free_slots", load.FreeSlots).Int("free_tokens", load.FreeTokens).
+		Dur("longest_pass", load.LongestPass).
 		Float64("pressure", load.Pressure).Float64("listed_cores", c.listedUsage()).
 		Int("followers", len(c.followers)).Msg("coordinator: load")
 }
--- a/internal/coordinator/link.go
+++ b/internal/coordinator/link.go
@@ -203,7 +203,6 @@
 	defer cancel()
 	result.err = l.conn.Call(limited, methodJoin, joinRequest{
 		Member: c.options.Self,
-		Known:  c.View().Rules != nil,
 	}, &result.answer)
 	result.link = l
 	if result.err != nil || !result.answer.Accepted {
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -427,11 +427,11 @@
 func (c *Coordinator) closeSilentFollowers(now time.Time) {
 	s := &c.options.Convener
 	for l := range c.followers {
-		limit, since := s.StandbySilence+s.StandbyPing, l.lastSeen
+		limit := s.StandbySilence + s.StandbyPing
 		if !l.listedAt.IsZero() && now.Sub(l.listedAt) > s.StandbyPing {
 			limit = s.Silence + s.Ping
 		}
-		if now.Sub(since) > limit {
+		if now.Sub(l.lastSeen) > limit {
 			l.close()
 		}
 	}
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -27,8 +27,6 @@
 // joinRequest asks the leader to accept the sender as a follower.
 type joinRequest struct {
 	Member Member `json:"member"`
-	// Known is set if the follower already has the rules.
-	Known bool `json:"known,omitempty"`
 }
 
 // joinAnswer accepts a follower or redirects it to the current leader.
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -331,8 +331,8 @@
 		line = line.Str("route", r.match.Route.Name)
 	}
 	if f.decision != nil {
-		line = line.Int("prompt", r.promptTokens).Int("output", r.outputTokens).Int("queued", f.decision.Queued).Int("engines", f.decision.Engines).
-			Float64("pressure", f.decision.Pressure)
+		line = line.Int("prompt", r.promptTokens).Int("output", r.outputTokens).Int("queued", f.decision.Queued).
+			Int("engines", f.decision.Engines).Float64("pressure", f.decision.Pressure)
 	}
 	line.Msg("receiver: not served")
 }
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -47,11 +47,11 @@
 	if err != nil {
 		return caller.Answer{}, err
 	}
-	if waited := s.options.Clock.Now().Sub(s.received()); timeout > 0 && waited > 0 {
-		if timeout <= waited {
+	if timeout > 0 {
+		timeout -= s.pauses.Unread(s.options.Clock.Now())
+		if timeout <= 0 {
 			return caller.Answer{}, deadlinePast("the deadline passed while this instance was paused: use another address")
 		}
-		timeout -= waited
 	}
 	request.Timeout = timeout
 	body, err := readBody(c, s.options.MaxBodyBytes, s.options.Clock.Now)
--- a/pkg/scheduler/pace.go
+++ b/pkg/scheduler/pace.go
@@ -17,6 +17,8 @@
 	paceMemory = 2 * time.Second
 	// minPaceTime is the shortest predicted time that is compared: shorter ones are dominated by the network.
 	minPaceTime = 40 * time.Millisecond
+	// overdueFactor times the predicted time is when a missing first event counts as a sample.
+	overdueFactor = 2.5
 	// commonSamples is the number of recent first events of all engines by which their common lateness is judged.
 	commonSamples = 64
 	// commonQuantile is the part of those samples at or below the common lateness; more engines than the rest may turn slow at a time.
@@ -87,6 +89,3 @@
 	sorted := slices.Sorted(slices.Values(p.samples))
 	return max(1, sorted[int(commonQuantile*float64(len(sorted)))])
 }
-
-// overdueFactor times the predicted time is when a missing first event counts as a sample of a slow engine.
-const overdueFactor = 2.5
