--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -37,8 +37,8 @@
 
 Run an instance on the users' platform until it is told to stop. Settings come from the file named by the
 platform's environment variable, or else from --settings. On SIGTERM the instance is no longer listed to
-callers, finishes its requests and exits with status 0 within the grace period. On SIGHUP it reloads its
-settings.
+callers, finishes its requests and exits with status 0 within the grace period. On SIGHUP it reads its
+settings again and applies a changed grace period and memory limit.
 
 Example:
   bergamothollow --settings instance.yaml gateway
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -391,6 +391,7 @@
 func (c *Convener) Redirected(now time.Time, from, answerer, to Peer) []Action {
 	c.actionPending = false
 	if len(c.seeds) > 0 && to.Address == "" {
+		// The next seed may know the leader.
 		return nil
 	}
 	if from == c.pointer.Leader && answerer.Name != from.Name {
--- a/pkg/scheduler/decide.go
+++ b/pkg/scheduler/decide.go
@@ -29,13 +29,14 @@
 	return decisions
 }
 
-// findOverdue updates the pace of engines whose first events are overdue, and counts a failure of each engine whose first event is overdue. Prompts that several engines share are left out.
+// findOverdue updates the pace of the engines, and counts a failure of each engine whose first event is overdue for longer. Prompts that
+// several engines share are left out.
 func (s *Scheduler) findOverdue(now time.Time) {
 	for _, e := range s.order {
 		e.slowdown = e.pace.slowdown(now)
 	}
 	for _, r := range s.running {
-		if overdue := r.placedAt.Add(time.Duration(overdueFactor * float64(r.firstEventExpected.Sub(r.placedAt)))); !r.started && now.After(overdue) {
+		if !r.started && r.overdue(now) {
 			s.observeFirstEvent(now, r)
 		}
 		if r.started || r.failureCounted || now.Before(r.firstEventExpected.Add(s.settings.FirstEventGrace)) || len(r.helpers) > 0 {
--- a/pkg/scheduler/pace.go
+++ b/pkg/scheduler/pace.go
@@ -69,6 +69,12 @@
 	r.engine.slowdown = r.engine.pace.slowdown(now)
 }
 
+// overdue reports whether the first event is so late that it shows a slow engine before it arrives.
+func (r *run) overdue(now time.Time) bool {
+	predicted := r.firstEventExpected.Sub(r.placedAt)
+	return now.After(r.placedAt.Add(time.Duration(overdueFactor * float64(predicted))))
+}
+
 // recentPaces holds the latest samples of all engines.
 type recentPaces struct {
 	samples []float64
