Show that a prompt part which crashes engines in their second pass is never isolated

LOST breaks: a crash more than 250 ms after the first event counts as a sound answer, so engines go on crashing and sound requests aren't served.

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// modelService returns a service of model engines.
+func modelService(name string) map[string]any {
+	s := plainService(name)
+	s["engine"] = map[string]any{
+		"slots": 16, "cacheTokens": 232000, "stride": 43, "step_ms": 1.02, "per_seq_ms": 0.00226, "context_per_k": 0.00431,
+		"read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048, "usual": map[string]any{"prompt": 12327, "answer": 1303},
+	}
+	return s
+}
+
 const (
 	keysField     = "api" + "Keys"
 	coldRateField = "warmups" + "PerS"
--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -29,10 +30,18 @@
 	// answer writes the answer to a request that runs; it may close the channel.
 	answer func(e *engine, c net.Conn, r *http.Request, body []byte)
 	onRun  func(run)
+
+	listener net.Listener
+	mu       sync.Mutex
+	open     map[net.Conn]bool
 }
 
 func startEngine(n names, id, service, zone string, onRun func(run), answer func(*engine, net.Conn, *http.Request, []byte)) (*engine, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return startEngineAt(n, "127.0.0.1:0", id, service, zone, onRun, answer)
+}
+
+func startEngineAt(n names, at, id, service, zone string, onRun func(run), answer func(*engine, net.Conn, *http.Request, []byte)) (*engine, error) {
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		return nil, err
 	}
@@ -44,6 +53,9 @@
 		address: listener.Addr().String(),
 		answer:  answer,
 		onRun:   onRun,
+
+		listener: listener,
+		open:     map[net.Conn]bool{},
 	}
 	go func() {
 		for {
@@ -57,8 +69,26 @@
 	return e, nil
 }
 
+// end ends the target as a crash does.
+func (e *engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.listener.Close()
+	for c := range e.open {
+		reset(c)
+	}
+}
+
 func (e *engine) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	e.mu.Lock()
+	e.open[c] = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.open, c)
+		e.mu.Unlock()
+		_ = c.Close()
+	}()
 	reader := bufio.NewReader(c)
 	r, err := http.ReadRequest(reader)
 	if err != nil {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -53,6 +53,8 @@
 }
 
 var cases = map[string]func(*play) (int, error){
+	"crash":  playCrash,
+	"entry":  playEntry,
 	"stream": playStream,
 }
 
--- a/review/_standin/stream.go
+++ b/review/_standin/stream.go
@@ -62,16 +62,11 @@
 		}
 		s.put(p.names.TargetKind, e.id, e.entry())
 	}
-	scribe := plainService("scribe")
-	scribe["engine"] = map[string]any{
-		"slots": 16, "cacheTokens": 232000, "stride": 43, "step_ms": 1.02, "per_seq_ms": 0.00226, "context_per_k": 0.00431,
-		"read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048, "usual": map[string]any{"prompt": 12327, "answer": 1303},
-	}
 	s.put(p.names.RulesKind, "main", rules(1, []map[string]any{{
 		"name": "notes", "host": hostName, "pathPrefix": "/notes/", "kind": "streaming", "timeoutMs": 10000, "targetLatencyMs": 300,
 		"priority": 1, "trafficSplit": []map[string]any{{"service": "scribe", "weight": 50}, {"service": "desk", "weight": 50}},
 		"maxAttempts": 2, "anonymousAccess": false, "sessionAffinity": true, "streamResumption": false, "targetGapMs": 250,
-	}}, []map[string]any{scribe, plainService("desk")}))
+	}}, []map[string]any{modelService("scribe"), plainService("desk")}))
 	gateways, err := newGateways(p.folder, s.address, zones, 3)
 	if err != nil {
 		return failed, err
