--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -77,33 +77,28 @@
 }
 
 // rules returns a desired state with the given routes and services, each as in the wire's examples.
-func rules(version int, routes, services []map[string]any) map[string]any {
+func (p *play) rules(version int, routes, services []map[string]any) map[string]any {
 	return map[string]any{
 		"version":  version,
 		"routes":   routes,
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": tenant, keysField: []string{apiKey}, "priority": 1}},
+		"tenants":  []map[string]any{{"name": tenant, p.names.Keys: []string{apiKey}, "priority": 1}},
 	}
 }
 
-func plainService(name string) map[string]any {
+func (p *play) plainService(name string) map[string]any {
 	return map[string]any{
-		"name": name, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false, "coldStartS": 0.0, coldRateField: 0.0,
+		"name": name, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false, "coldStartS": 0.0, p.names.ColdRate: 0.0,
 	}
 }
 
 // modelService returns a service of model engines.
-func modelService(name string) map[string]any {
-	s := plainService(name)
+func (p *play) modelService(name string) map[string]any {
+	s := p.plainService(name)
 	s["engine"] = map[string]any{
 		"slots": 16, "cacheTokens": 232000, "stride": 43, "step_ms": 1.02, "per_seq_ms": 0.00226, "context_per_k": 0.00431,
 		"read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048, "usual": map[string]any{"prompt": 12327, "answer": 1303},
 	}
 	return s
 }
-
-const (
-	keysField     = "api" + "Keys"
-	coldRateField = "warmups" + "PerS"
-)
--- a/review/_standin/crash.go
+++ b/review/_standin/crash.go
@@ -137,11 +137,11 @@
 			return failed, err
 		}
 	}
-	s.put(p.names.RulesKind, "main", rules(1, []map[string]any{{
+	s.put(p.names.RulesKind, "main", p.rules(1, []map[string]any{{
 		"name": "notes", "host": hostName, "pathPrefix": "/notes/", "kind": "streaming", "timeoutMs": 10000, "targetLatencyMs": 300,
 		"priority": 1, "service": "scribe", "maxAttempts": 2, "anonymousAccess": false, "sessionAffinity": true,
 		"streamResumption": true, "targetGapMs": 250,
-	}}, []map[string]any{modelService("scribe")}))
+	}}, []map[string]any{p.modelService("scribe")}))
 	gateways, err := newGateways(p.folder, s.address, zones, 3)
 	if err != nil {
 		return failed, err
--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -137,6 +137,6 @@
 func (e *engine) entry() map[string]any {
 	return map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 6, "state": "ready",
-		"coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		e.names.ColdRemaining: 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	}
 }
--- a/review/_standin/entry.go
+++ b/review/_standin/entry.go
@@ -54,8 +54,8 @@
 			"targetLatencyMs": 300, "priority": 2, "service": service, "maxAttempts": 1, "anonymousAccess": false,
 		}
 	}
-	s.put(p.names.RulesKind, "main", rules(1, []map[string]any{route("ledger"), route("desk")},
-		[]map[string]any{plainService("ledger"), plainService("desk")}))
+	s.put(p.names.RulesKind, "main", p.rules(1, []map[string]any{route("ledger"), route("desk")},
+		[]map[string]any{p.plainService("ledger"), p.plainService("desk")}))
 	gateways, err := newGateways(p.folder, s.address, zones, 3)
 	if err != nil {
 		return failed, err
@@ -83,7 +83,7 @@
 			e := engines[2]
 			// The version and the sequence are missing.
 			s.put(p.names.TargetKind, e.id, map[string]any{
-				"service": "ledger", "address": e.address, "zone": e.zone, "slots": 6, "state": "ready", "coldRemainingMs": 0,
+				"service": "ledger", "address": e.address, "zone": e.zone, "slots": 6, "state": "ready", p.names.ColdRemaining: 0,
 			})
 			p.record.add("another writer writes %s without version and sequence, with the service ledger", e.id)
 		}
--- a/review/_standin/names.go
+++ b/review/_standin/names.go
@@ -27,6 +27,10 @@
 	RulesKind      string `json:"rulesKind"`
 	TargetKind     string `json:"targetKind"`
 	EvacuationKind string `json:"evacuationKind"`
+	Keys           string `json:"keys"`
+	ColdRate       string `json:"coldRate"`
+	ColdRemaining  string `json:"coldRemaining"`
+	More           string `json:"more"`
 }
 
 func readNames(file string) (names, error) {
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -49,7 +49,7 @@
 
 // store is the platform's store, in memory.
 type store struct {
-	prefix  string
+	names   names
 	address string
 
 	mu       sync.Mutex
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	s := &store{
-		prefix:   n.Objects,
+		names:    n,
 		address:  listener.Addr().String(),
 		revision: 100,
 		objects:  map[string]map[string]object{},
@@ -176,7 +176,7 @@
 		return
 	}
 	time.Sleep(storeDelay)
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, s.prefix), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, s.names.Objects), "/")
 	switch {
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Get("watch") != "":
 		s.watch(w, r, kind)
@@ -220,7 +220,7 @@
 	s.mu.Unlock()
 	slices.SortFunc(list, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
 	more := len(list) > pageSize
-	answer(w, http.StatusOK, map[string]any{"items": list[:min(len(list), pageSize)], "hasMore": more, "at": at})
+	answer(w, http.StatusOK, map[string]any{"items": list[:min(len(list), pageSize)], s.names.More: more, "at": at})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
--- a/review/_standin/stream.go
+++ b/review/_standin/stream.go
@@ -62,11 +62,11 @@
 		}
 		s.put(p.names.TargetKind, e.id, e.entry())
 	}
-	s.put(p.names.RulesKind, "main", rules(1, []map[string]any{{
+	s.put(p.names.RulesKind, "main", p.rules(1, []map[string]any{{
 		"name": "notes", "host": hostName, "pathPrefix": "/notes/", "kind": "streaming", "timeoutMs": 10000, "targetLatencyMs": 300,
 		"priority": 1, "trafficSplit": []map[string]any{{"service": "scribe", "weight": 50}, {"service": "desk", "weight": 50}},
 		"maxAttempts": 2, "anonymousAccess": false, "sessionAffinity": true, "streamResumption": false, "targetGapMs": 250,
-	}}, []map[string]any{modelService("scribe"), plainService("desk")}))
+	}}, []map[string]any{p.modelService("scribe"), p.plainService("desk")}))
 	gateways, err := newGateways(p.folder, s.address, zones, 3)
 	if err != nil {
 		return failed, err
