Show that a planned stop cuts answers that clients read slowly

LOST breaks: a gateway counts an answer as sent 0.4 s after its handler has returned, and ends 3.6 s after SIGTERM although its grace period goes on.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -55,6 +55,7 @@
 var cases = map[string]func(*play) (int, error){
 	"crash":  playCrash,
 	"entry":  playEntry,
+	"stop":   playStop,
 	"stream": playStream,
 }
 
