--- a/review/_standin/gateway.go
+++ b/review/_standin/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,18 +29,29 @@
 	started time.Time
 }
 
+const (
+	// lowestPort and portCount are the ports of the gateways. They lie below those that the system gives to outgoing channels, which
+	// could take a port between its choice and its use.
+	lowestPort = 12000
+	portCount  = 18000
+	portTries  = 1000
+)
+
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(count int) ([]string, error) {
 	var list []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(list) == count {
+			return list, nil
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
 		list = append(list, l.Addr().String())
 	}
-	return list, nil
+	return nil, fmt.Errorf("found %d of %d free ports", len(list), count)
 }
 
 // newGateways prepares the settings of gateways from the template of the deploy file.
@@ -128,13 +140,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// maxQuoted is how much of a log is quoted, in bytes.
+const maxQuoted = 600
+
 // waitReady waits until all gateways are ready.
 func waitReady(n names, list []*gateway, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	for _, g := range list {
 		for !g.ready(n) {
 			if time.Now().After(end) {
-				return fmt.Errorf("%s isn't ready after %s", g.name, limit)
+				log, _ := os.ReadFile(g.settings + ".log")
+				return fmt.Errorf("%s isn't ready after %s; the end of its log: %s", g.name, limit, log[max(0, len(log)-maxQuoted):])
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -63,16 +62,16 @@
 	os.Exit(execute())
 }
 
-// execute plays a case: standin CASE FOLDER.
+// execute plays a case and writes its record to a file: standin CASE FILE.
 func execute() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FILE")
 		return failed
 	}
 	p := &play{
 		trouble: os.Getenv("TROUBLE") != "0",
 	}
-	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	file, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
