Pass on streams of all services by their events

Cause: the receiver chose by the service how to pass on an answer. Those of plain services were buffered whole, and without a length or chunks the end of the connection is the end of the body. Only the path of engines split events, and it compared the media type with case.

Answers are now passed on by what they are: one function serves both paths, and a stream is recognised by its media type in any spelling. A part of an answer that has been sent is continued by another target only on routes that resume streams.

--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -19,10 +19,10 @@
 
 var errAnswerTooLong = errors.New("the answer is longer than 8 MiB")
 
-// call serves a request to a plain service; the answer is buffered completely before it is passed on.
+// call serves a request to a plain service.
 func (s *Server) call(ctx context.Context, r *request, w *writer) *refusal {
+	t := s.newTransfer(r, w)
 	var excluded []namer.Target
-	var lastErr error
 	previous := verdictAnswer
 	for attempt := 0; attempt < maxCallAttempts; {
 		target, found := s.options.Control.Pick(r.service.Name, append(s.abstaining(r), excluded...))
@@ -39,7 +39,7 @@
 			id:      target.ID,
 			address: target.Address,
 		}
-		answer, result, err := s.send(ctx, r, d, r.lastEventID)
+		answer, result, err := s.send(ctx, r, d, t.lastEventID)
 		if unwilling(err) {
 			// The target has said so since it was picked; nothing was sent.
 			s.options.Control.Done(d.id, balancer.Abandoned)
@@ -47,39 +47,31 @@
 			continue
 		}
 		attempt++
-		lastErr, previous = err, result
-		var body []byte
-		if result == verdictAnswer {
-			body, err = readWhole(answer)
-			if err != nil {
-				result, lastErr = verdictUnknown, err
-			}
+		if result == verdictAnswer || result == verdictUnknown {
+			r.sends++
+		}
+		again := result == verdictAnswer && answer.Status >= serverError && !w.begun && s.takeRetry(r)
+		if result == verdictAnswer && !again {
+			result, err = t.forward(answer, r.id, nil)
 		}
 		if answer != nil {
 			answer.Close()
 		}
-		s.options.Control.Done(d.id, balancerOutcome(ctx, result))
-		s.logAttempt(r, d, result, lastErr)
-		if result == verdictAnswer || result == verdictUnknown {
-			r.sends++
-		}
-		if result == verdictAnswer {
-			if answer.Status >= serverError && s.takeRetry(r) {
-				excluded = append(excluded, d.id)
-				continue
-			}
-			w.writeAnswer(answer, body)
+		t.lastErr, previous = err, result
+		s.options.Control.Done(d.id, balancerOutcome(ctx, result, err))
+		s.logAttempt(r, d, result, err)
+		if result == verdictAnswer && !again {
 			return nil
 		}
-		if ctx.Err() != nil || result == verdictUnknown && !s.takeRetry(r) {
+		if ctx.Err() != nil || errors.Is(err, errCallerWrite) || !t.continuable() {
 			break
 		}
-		if result == verdictNotRun && !s.spendRetry() {
+		if result == verdictUnknown && !s.takeRetry(r) || result == verdictNotRun && !s.spendRetry() {
 			break
 		}
 		excluded = append(excluded, d.id)
 	}
-	return s.finalRefusal(ctx, r, lastErr)
+	return s.finalRefusal(ctx, r, t.lastErr)
 }
 
 // serverError is the lowest HTTP status of a server error.
@@ -93,11 +85,11 @@
 	return body, err
 }
 
-func balancerOutcome(ctx context.Context, v verdict) balancer.Outcome {
+func balancerOutcome(ctx context.Context, v verdict, err error) balancer.Outcome {
 	switch {
 	case v == verdictAnswer:
 		return balancer.Answered
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerWrite):
 		return balancer.Abandoned
 	case v == verdictNotRun:
 		return balancer.Rejected
--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -54,6 +54,12 @@
 	Leaving:               "Test-Leaving",
 }
 
+// The services of the rules.
+const (
+	servicePlain  namer.Service = "plain"
+	serviceEngine namer.Service = "engine"
+)
+
 type fixture struct {
 	url    string
 	server *Server
@@ -79,6 +85,8 @@
 	review.MaxPause = time.Second
 	slow := route("slow", matcher.Streaming, "engine")
 	slow.Timeout = 15 * time.Second
+	once := route("once", matcher.Streaming, "plain")
+	once.Resumable = false
 	return matcher.Rules{
 		Version:     1,
 		KeyRequired: true,
@@ -88,6 +96,9 @@
 			slow,
 			route("pay", matcher.NonIdempotent, "plain"),
 			route("look", matcher.Idempotent, "plain"),
+			route("notes", matcher.Streaming, "plain"),
+			once,
+			route("lookup", matcher.Idempotent, serviceEngine),
 		},
 		Services: []matcher.Service{
 			{Name: "plain"},
@@ -242,11 +253,11 @@
 	err    error
 }
 
-// ask sends a request with a valid key and reads the complete answer.
-func (f fixture) ask(ctx context.Context, method, path string, change ...func(*http.Request)) response {
+// open sends a request with a valid key and returns the answer, whose body the test reads and closes.
+func (f fixture) open(ctx context.Context, method, path string, change ...func(*http.Request)) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader("body"))
 	if err != nil {
-		return response{err: err}
+		return nil, err
 	}
 	request.Host = "host"
 	request.Header.Set(names.Key, "secret")
@@ -256,7 +267,12 @@
 	for _, c := range change {
 		c(request)
 	}
-	answer, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+// ask sends a request with a valid key and reads the complete answer.
+func (f fixture) ask(ctx context.Context, method, path string, change ...func(*http.Request)) response {
+	answer, err := f.open(ctx, method, path, change...)
 	if err != nil {
 		return response{err: err}
 	}
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -4,13 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 )
@@ -20,12 +21,7 @@
 
 // stream serves a request to model engines; a broken stream is resumed at another engine after the last event sent.
 func (s *Server) stream(ctx context.Context, r *request, w *writer) *refusal {
-	t := &transfer{
-		server:      s,
-		request:     r,
-		writer:      w,
-		lastEventID: r.lastEventID,
-	}
+	t := s.newTransfer(r, w)
 	var excluded []namer.Target
 	var successor *assignment
 	previous := verdictAnswer
@@ -60,7 +56,7 @@
 			t.logServed(current.placement)
 			return nil
 		}
-		if ctx.Err() != nil || errors.Is(t.lastErr, errCallerWrite) {
+		if ctx.Err() != nil || errors.Is(t.lastErr, errCallerWrite) || !t.continuable() {
 			break
 		}
 		if successor == nil && result == verdictUnknown && !s.takeRetry(r) {
@@ -81,7 +77,7 @@
 	placement scheduler.Placement
 }
 
-// transfer is one stream over one or more engines.
+// transfer is one answer to a caller, which targets serve one after the other.
 type transfer struct {
 	server  *Server
 	request *request
@@ -102,6 +98,15 @@
 	attemptBegan time.Time
 }
 
+func (s *Server) newTransfer(r *request, w *writer) *transfer {
+	return &transfer{
+		server:      s,
+		request:     r,
+		writer:      w,
+		lastEventID: r.lastEventID,
+	}
+}
+
 // recordEvent updates the time to the first event and the longest pause, by which a stream's quality is judged.
 func (t *transfer) recordEvent(now time.Time) {
 	if t.previousEvent.IsZero() {
@@ -310,12 +315,12 @@
 	return ""
 }
 
-// forward passes on an engine's answer. The header is sent with the first event, so that an engine that fails before it can
-// still be replaced.
+// forward passes on a target's answer: a stream as its events arrive, any other answer once it is complete. The header of a stream is sent
+// with the first event, so that a target that fails before it can still be replaced. The watchdog may be nil.
 func (t *transfer) forward(answer *forwarder.Answer, id namer.Request, wd *watchdog) (verdict, error) {
-	stream := strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream)
+	stream := isEventStream(answer.Header)
 	resumed := t.writer.begun
-	if resumed && (!stream || answer.Status != http.StatusOK) {
+	if resumed && (!stream || answer.Status != http.StatusOK || !t.continuable()) {
 		return verdictUnknown, errInvalid
 	}
 	if !stream {
@@ -340,7 +345,9 @@
 			return verdictUnknown, errInvalid
 		}
 		if first {
-			t.server.options.Control.Started(id)
+			if t.request.service.Engine != nil {
+				t.server.options.Control.Started(id)
+			}
 			first = false
 			if !t.writer.begun {
 				t.writer.beginStream(answer)
@@ -360,6 +367,13 @@
 	}
 }
 
+// continuable reports whether another target may go on with the answer. Once a part of it has been sent, only a stream that may be resumed
+// can be continued.
+func (t *transfer) continuable() bool {
+	route := t.request.match.Route
+	return !t.writer.begun || route.Kind == matcher.Streaming && route.Resumable
+}
+
 // follows reports whether an event may come after the one with the ID last; IDs that aren't numbers can't be compared.
 func follows(id, last string) bool {
 	next, err := strconv.ParseInt(id, 10, 64)
@@ -369,6 +383,13 @@
 
 const eventStream = "text/event-stream"
 
+// isEventStream reports whether an answer consists of server-sent events.
+func isEventStream(header http.Header) bool {
+	// The media type is also returned if a parameter after it is malformed.
+	mediaType, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
+	return mediaType == eventStream
+}
+
 func (t *transfer) logServed(p scheduler.Placement) {
 	s, r := t.server, t.request
 	s.options.Metrics.first.Observe(t.first.Seconds())
