Bound the memory that all answers of a process hold together

Operators report a machine that ran out of memory while a faulty engine sent bytes without end, which ended the requests of its other clients.

Answers that callers read slowly were not counted either, since Hertz sent them after the handler had returned.

The handler sends an answer itself and gives its memory back when the connection has taken it.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -291,6 +291,11 @@
 		Help: "Requests and control steps that an unexpected error in the program has ended.",
 	}, func() float64 { return float64(i.panics.Load()) }))
 	g := s.Gateway
+	answerMemory := receiver.NewAnswerMemory(int64(g.ProcessMegabytes) << 20)
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bergamothollow_gateway_answer_memory_free_bytes",
+		Help: "Bytes that answers which are read, or which callers read slowly, may still take.",
+	}, func() float64 { return float64(answerMemory.Free()) }))
 	i.receiver = receiver.New(receiver.Options{
 		Listener: listeners[s.Listen.Callers],
 		Control:  i.control,
@@ -303,10 +308,11 @@
 			Window: g.RetryWindow,
 			Extra:  g.RetryExtra,
 		}),
-		Clock:   i.options.Factory.Clock,
-		Log:     i.logger,
-		Metrics: receiver.NewMetrics(registry),
-		OnPanic: i.countPanic,
+		AnswerMemory: answerMemory,
+		Clock:        i.options.Factory.Clock,
+		Log:          i.logger,
+		Metrics:      receiver.NewMetrics(registry),
+		OnPanic:      i.countPanic,
 	})
 	i.status = receiver.NewStatusServer(receiver.StatusOptions{
 		Readiness:   listeners[g.Readiness],
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -60,6 +60,7 @@
 	c.duration("gateway.retry_window", g.RetryWindow, time.Second, time.Hour)
 	c.duration("gateway.address_validity", g.AddressValidity, 100*time.Millisecond, time.Minute)
 	c.duration("gateway.watch_wait", g.WatchWait, 100*time.Millisecond, 30*time.Second)
+	c.integer("gateway.process_megabytes", g.ProcessMegabytes, 32, 1<<20)
 	c.integer("gateway.retry_extra", g.RetryExtra, 0, 1_000_000)
 	if g.ProcessorShare <= 0 || g.ProcessorShare > 1024 {
 		c.fail("gateway.processor_share", "%v is out of range: set it to a number of cores above 0 and up to 1024, like 0.4", g.ProcessorShare)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -50,6 +50,8 @@
 	WatchWait time.Duration `yaml:"watch_wait"`
 	// MemoryBytes is the soft memory limit of the garbage collector.
 	MemoryBytes int `yaml:"memory_bytes"`
+	// ProcessMegabytes is the memory above which the process is ended, in units of 1,048,576 bytes.
+	ProcessMegabytes int `yaml:"process_megabytes"`
 }
 
 // Addresses are host:port pairs, one for callers and one for peers.
@@ -123,14 +125,15 @@
 			Reconcile:       2 * time.Second,
 		},
 		Gateway: Gateway{
-			ProcessorShare:  1,
-			GracePeriod:     8 * time.Second,
-			RetryRatio:      0.2,
-			RetryWindow:     10 * time.Second,
-			RetryExtra:      100,
-			AddressValidity: time.Second,
-			WatchWait:       2 * time.Second,
-			MemoryBytes:     64 * mebibyte,
+			ProcessorShare:   1,
+			GracePeriod:      8 * time.Second,
+			RetryRatio:       0.2,
+			RetryWindow:      10 * time.Second,
+			RetryExtra:       100,
+			AddressValidity:  time.Second,
+			WatchWait:        2 * time.Second,
+			MemoryBytes:      64 * mebibyte,
+			ProcessMegabytes: 256,
 		},
 	}
 }
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -81,7 +81,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := NewEvents(answer.Body).Next(); !errors.Is(err, ErrEventTooLong) {
+			if _, err := NewEvents(answer.Body, nil).Next(); !errors.Is(err, ErrEventTooLong) {
 				t.Errorf("got %v, want ErrEventTooLong", err)
 			}
 			if got := sent.Load(); got > socketBuffers {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -151,7 +151,7 @@
 		{name: "long line", text: "id: 1\ndata: " + strings.Repeat("x", 10_000) + "\n\n", ids: []string{"1"}, want: io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			events := NewEvents(strings.NewReader(c.text))
+			events := NewEvents(strings.NewReader(c.text), nil)
 			var raw strings.Builder
 			for i := 0; ; i++ {
 				event, err := events.Next()
--- a/internal/forwarder/fuzz_test.go
+++ b/internal/forwarder/fuzz_test.go
@@ -15,7 +15,7 @@
 	f.Add("\n\n\nid:\n\nda")
 	f.Add(strings.Repeat("x", 5000))
 	f.Fuzz(func(t *testing.T, stream string) {
-		events := NewEvents(strings.NewReader(stream))
+		events := NewEvents(strings.NewReader(stream), nil)
 		var passed strings.Builder
 		for {
 			event, err := events.Next()
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 
-	"bergamothollow.example/bergamothollow/internal/forwarder"
 	"bergamothollow.example/bergamothollow/pkg/balancer"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
@@ -17,8 +15,6 @@
 	maxAnswerBytes = 8 << 20
 )
 
-var errAnswerTooLong = errors.New("the answer is longer than 8 MiB")
-
 // call serves a request to a plain service.
 func (s *Server) call(ctx context.Context, r *request, w *writer) *refusal {
 	t := s.newTransfer(r, w)
@@ -77,14 +73,6 @@
 // serverError is the lowest HTTP status of a server error.
 const serverError = 500
 
-func readWhole(a *forwarder.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
-	return body, err
-}
-
 func balancerOutcome(ctx context.Context, v verdict, err error) balancer.Outcome {
 	switch {
 	case v == verdictAnswer:
--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -219,15 +219,16 @@
 	t.Cleanup(cancel)
 	go control.Run(ctx)
 	server := New(Options{
-		Listener: callers,
-		Control:  control,
-		Names:    names,
-		Orders:   checkOrders(),
-		Notices:  decodeNotice,
-		Budget:   NewBudget(BudgetSettings{Ratio: 0.2, Window: 10 * time.Second, Extra: 500}),
-		Clock:    timer.System{},
-		Log:      logger,
-		Metrics:  NewMetrics(prometheus.NewRegistry()),
+		Listener:     callers,
+		Control:      control,
+		Names:        names,
+		Orders:       checkOrders(),
+		Notices:      decodeNotice,
+		Budget:       NewBudget(BudgetSettings{Ratio: 0.2, Window: 10 * time.Second, Extra: 500}),
+		Clock:        timer.System{},
+		AnswerMemory: NewAnswerMemory(processBytes),
+		Log:          logger,
+		Metrics:      NewMetrics(prometheus.NewRegistry()),
 	})
 	go func() { _ = server.Run() }()
 	return fixture{
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -45,15 +45,26 @@
 	Orders   Orders
 	Notices  NoticeDecoder
 	// Spread is this instance's part, from 0 to 1, of delays by which instances return to a target at different times.
-	Spread  float64
-	Budget  *Budget
-	Clock   timer.Clock
-	Log     *log.Logger
-	Metrics *Metrics
+	Spread float64
+	Budget *Budget
+	// AnswerMemory bounds the bytes of answers that the server holds; nil means no bound.
+	AnswerMemory *forwarder.Memory
+	Clock        timer.Clock
+	Log          *log.Logger
+	Metrics      *Metrics
 	// OnPanic is called for each request that a panic has ended, to count it; it may be nil.
 	OnPanic func()
 }
 
+// answerMemoryShare divides the memory of a process to get what answers may hold. The rest is for requests, connections and control state,
+// and for the garbage of buffers that have grown.
+const answerMemoryShare = 3
+
+// NewAnswerMemory returns the memory of the answers of a process that may use the given number of bytes.
+func NewAnswerMemory(processBytes int64) *forwarder.Memory {
+	return forwarder.NewMemory(processBytes / answerMemoryShare)
+}
+
 // Server serves the callers' requests.
 type Server struct {
 	options Options
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -324,14 +324,10 @@
 		return verdictUnknown, errInvalid
 	}
 	if !stream {
-		body, err := readWhole(answer)
-		if err != nil {
-			return verdictUnknown, err
-		}
-		t.writer.writeAnswer(answer, body)
-		return verdictAnswer, nil
+		return t.forwardWhole(answer)
 	}
-	events := forwarder.NewEvents(answer.Body)
+	events := forwarder.NewEvents(answer.Body, t.server.options.AnswerMemory)
+	defer events.Release()
 	first := true
 	for {
 		event, err := events.Next()
@@ -367,6 +363,19 @@
 	}
 }
 
+// forwardWhole passes on an answer that isn't a stream once it is complete.
+func (t *transfer) forwardWhole(answer *forwarder.Answer) (verdict, error) {
+	body := t.server.options.AnswerMemory.NewBuffer()
+	defer body.Release()
+	if err := body.ReadAll(answer.Body, maxAnswerBytes); err != nil {
+		return verdictUnknown, err
+	}
+	if err := t.writer.writeAnswer(answer, body.Bytes()); err != nil {
+		return verdictUnknown, errors.Join(errCallerWrite, err)
+	}
+	return verdictAnswer, nil
+}
+
 // continuable reports whether another target may go on with the answer. Once a part of it has been sent, only a stream that may be resumed
 // can be continued.
 func (t *transfer) continuable() bool {
--- a/internal/receiver/writer.go
+++ b/internal/receiver/writer.go
@@ -36,11 +36,27 @@
 	}
 }
 
-// writeAnswer sends an answer that has been read completely.
-func (w *writer) writeAnswer(a *forwarder.Answer, body []byte) {
+// writeAnswer sends an answer that has been read completely, and returns once the caller's connection has taken it: until then the request
+// counts as in progress, and its memory is held.
+func (w *writer) writeAnswer(a *forwarder.Answer, body []byte) error {
+	c := w.context
 	w.copyHeader(a)
 	w.begun = true
-	w.context.Response.SetBodyRaw(body)
+	c.Response.SetBodyRaw(body)
+	c.Response.SkipBody = c.IsHead()
+	if c.Request.Header.ConnectionClose() {
+		c.SetConnectionClose()
+	}
+	out := c.GetWriter()
+	if err := resp.Write(&c.Response, out); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	// Nothing is left for Hertz to write.
+	c.Response.HijackWriter(discard{})
+	return nil
 }
 
 // beginStream starts a chunked response.
