--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"math"
 	mathrand "math/rand/v2"
 	"net"
 	"os"
@@ -270,6 +271,15 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
+// machineMemory returns the memory of the machine in bytes; it has no bound if the system doesn't tell.
+func machineMemory() int64 {
+	var info syscall.Sysinfo_t
+	if syscall.Sysinfo(&info) != nil {
+		return math.MaxInt64
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
 // listen opens the listeners and creates the servers on them.
 func (i *instance) listen() error {
 	s := i.settings
@@ -291,7 +301,7 @@
 		Help: "Requests and control steps that an unexpected error in the program has ended.",
 	}, func() float64 { return float64(i.panics.Load()) }))
 	g := s.Gateway
-	answerMemory := receiver.NewAnswerMemory(int64(g.ProcessMegabytes) << 20)
+	answerMemory := receiver.NewAnswerMemory(min(int64(g.ProcessMegabytes)<<20, machineMemory()))
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bergamothollow_gateway_answer_memory_free_bytes",
 		Help: "Bytes that answers which are read, or which callers read slowly, may still take.",
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -50,7 +50,7 @@
 	WatchWait time.Duration `yaml:"watch_wait"`
 	// MemoryBytes is the soft memory limit of the garbage collector.
 	MemoryBytes int `yaml:"memory_bytes"`
-	// ProcessMegabytes is the memory above which the process is ended, in units of 1,048,576 bytes.
+	// ProcessMegabytes is the memory that the process may use, in units of 1,048,576 bytes, if the machine has as much.
 	ProcessMegabytes int `yaml:"process_megabytes"`
 }
 
