Answer or refuse all requests at the end of a planned stop

Operators report that, in a planned stop in calm, requests that came late in the grace period were taken, passed on and cut at its end without an answer, payouts too.

The server now refuses what arrives once it has drained, before it waits for what crossed that moment. At the end of the grace period it gives each request under way its final answer: 503 if no target has it, 502 if one has.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -64,8 +64,6 @@
 	// logFlushTime is the delay before the exit in which the last log lines are written. The log isn't closed, since other
 	// goroutines may still use it.
 	logFlushTime = 50 * time.Millisecond
-	// drainPollInterval is how often a leaving instance checks whether its requests have ended.
-	drainPollInterval = 50 * time.Millisecond
 )
 
 // Options are the dependencies of the command.
@@ -172,27 +170,14 @@
 	latest := began.Add(i.settings.Gateway.GracePeriod - exitMargin)
 	i.receiver.Leave(began, latest.Add(-closingTime))
 	i.control.Leave()
-	i.waitDrained(began.Add(minLeaveTime), latest.Add(-closingTime))
-	// Requests that arrive until the process ends would be cut off.
-	i.receiver.StopAccepting()
-	i.waitDrained(clock.Now().Add(drainPollInterval), latest)
+	i.receiver.WaitDrained(began.Add(minLeaveTime), latest.Add(-closingTime))
+	i.receiver.Close(latest)
 	i.logger.Info().Int("active", i.receiver.Active()).Dur("took", clock.Now().Sub(began)).
 		Int64("lines_dropped", i.output.Dropped()).Msg("gateway: left")
 	time.Sleep(logFlushTime)
 	return nil
 }
 
-// waitDrained waits until all requests have ended, but not less than until earliest and not longer than until latest.
-func (i *instance) waitDrained(earliest, latest time.Time) {
-	clock := i.options.Factory.Clock
-	for now := clock.Now(); now.Before(latest); now = clock.Now() {
-		if now.After(earliest) && i.receiver.Drained() {
-			return
-		}
-		<-clock.After(drainPollInterval)
-	}
-}
-
 func (i *instance) build() error {
 	incarnation := make([]byte, incarnationBytes)
 	if _, err := rand.Read(incarnation); err != nil {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -154,6 +154,14 @@
 	return errors.Is(ctx.Err(), context.DeadlineExceeded)
 }
 
+// errEnding is the cause of a request's end when the process exits.
+var errEnding = errors.New("the process exits")
+
+// ended reports whether a request is ended because the process exits.
+func ended(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errEnding)
+}
+
 // finalRefusal returns the answer to a request after its last attempt failed; last is the error of that attempt.
 func (s *Server) finalRefusal(ctx context.Context, r *request, last error) *refusal {
 	message := "no target answered"
@@ -161,6 +169,8 @@
 		message = last.Error()
 	}
 	switch {
+	case r.sends == 0 && ended(ctx):
+		return refuseLeaving()
 	case r.sends == 0 && expired(ctx):
 		return unavailable(reasonTooLate, message, 0)
 	case r.sends == 0:
--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -76,8 +76,13 @@
 	leavingSince atomic.Int64
 	// leavingUntil is when the process ends at the latest, in Unix nanoseconds.
 	leavingUntil atomic.Int64
-	pauses       *detector.Detector
-	abstainer    *abstainer.Abstainer
+	// closing is set once the instance has drained: what still arrives is refused.
+	closing atomic.Bool
+	// ending ends the requests that are in progress when the process has to exit.
+	ending    context.Context
+	end       context.CancelFunc
+	pauses    *detector.Detector
+	abstainer *abstainer.Abstainer
 }
 
 // New returns a server that listens on the options' listener.
@@ -89,6 +94,7 @@
 		pauses:    detector.New(o.Clock, detector.DefaultSettings()),
 		abstainer: abstainer.New(abstainer.DefaultSettings(o.Spread)),
 	}
+	s.ending, s.end = context.WithCancel(context.Background())
 	h.NoRoute(s.serve)
 	return s
 }
@@ -144,11 +150,38 @@
 	s.leavingSince.Store(now.UnixNano())
 }
 
-// StopAccepting closes the listener; requests on open connections are still served.
-func (s *Server) StopAccepting() {
+// drainPollInterval is how often a leaving instance checks whether its requests have ended.
+const drainPollInterval = 50 * time.Millisecond
+
+// WaitDrained waits until all requests have ended, but not less than until earliest and not longer than until latest.
+func (s *Server) WaitDrained(earliest, latest time.Time) {
+	clock := s.options.Clock
+	for now := clock.Now(); now.Before(latest); now = clock.Now() {
+		if now.After(earliest) && s.Drained() {
+			return
+		}
+		<-clock.After(drainPollInterval)
+	}
+}
+
+// endTime is how long requests that are ended at the end of the grace period may take to get their final answer.
+const endTime = 200 * time.Millisecond
+
+// Close stops accepting connections, refuses what still arrives on open ones, and returns when all requests have ended. Those that have
+// not ended at the given time get their final answer then: the process exits when Close returns.
+func (s *Server) Close(latest time.Time) {
+	s.closing.Store(true)
 	if err := s.options.Listener.Close(); err != nil {
 		s.options.Log.Error().Err(err).Msg("receiver: closing the listener failed")
 	}
+	s.WaitDrained(s.options.Clock.Now().Add(drainPollInterval), latest)
+	if s.Active() == 0 {
+		return
+	}
+	s.options.Log.Info().Int("active", s.Active()).Msg("receiver: ending the requests in progress, the grace period is over")
+	s.end()
+	now := s.options.Clock.Now()
+	s.WaitDrained(now, now.Add(endTime))
 }
 
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
@@ -174,6 +207,10 @@
 		return
 	}
 	s.options.Budget.CountRequest(r.received)
+	ctx, cancelRequest := context.WithCancelCause(ctx)
+	defer cancelRequest(nil)
+	stop := context.AfterFunc(s.ending, func() { cancelRequest(errEnding) })
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	var f *refusal
@@ -223,7 +260,7 @@
 		// Hertz writes the last chunk of a stream when the handler returns.
 		s.options.Metrics.recordServed(r, took)
 		return
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !ended(ctx):
 		w.abort()
 		f = callerGone(f.message)
 	case w.begun:
@@ -271,8 +308,8 @@
 // noRulesRetry is the Retry-After without rules, which arrive within milliseconds once the store or a peer answers.
 const noRulesRetry = 300 * time.Millisecond
 
-// refuseLateAfter is the time after the stop signal from which requests to engines are refused: by then callers have resolved
-// the new addresses, and a stream that starts later could be cut off by the end of the grace period.
+// refuseLateAfter is the time after the stop signal from which requests to engines are refused, or half of the grace period if that is
+// shorter: by then callers have resolved the new addresses, and a stream that starts later could be cut off by the end of that period.
 const refuseLateAfter = 2500 * time.Millisecond
 
 // refuseLate refuses a request that could outlast the grace period of a leaving instance; nil if it may go on.
@@ -281,14 +318,20 @@
 	if began == 0 {
 		return nil
 	}
-	late := r.deadline.After(time.Unix(0, s.leavingUntil.Load()))
+	since, until := time.Unix(0, began), time.Unix(0, s.leavingUntil.Load())
+	late := r.deadline.After(until)
 	if r.service.Engine != nil {
 		// Most streams end long before their deadline.
-		late = r.received.Sub(time.Unix(0, began)) >= refuseLateAfter
+		late = r.received.Sub(since) >= min(refuseLateAfter, until.Sub(since)/2)
 	}
-	if !late {
+	if !late && !s.closing.Load() {
 		return nil
 	}
+	return refuseLeaving()
+}
+
+// refuseLeaving refuses a request that has not run, since the process ends.
+func refuseLeaving() *refusal {
 	f := unavailable(reasonLeaving, "this instance is leaving: use another address", leavingRetry)
 	f.close = true
 	return f
