Test that an answer to a slow reader counts as in progress

With the writer as it was before, the test fails: the server has drained 0.8 s into an answer of 7 MiB of which the caller has read nothing.

--- a/internal/receiver/stop_test.go
+++ b/internal/receiver/stop_test.go
@@ -124,3 +124,24 @@
 		})
 	}
 }
+
+// Guards against a process that exits while it still sends an answer to a caller that reads slowly: such a request must count as in
+// progress until the connection has taken the whole answer (review/3).
+func TestSlowReaderIsInProgress(t *testing.T) {
+	// More than the buffers of both sockets hold.
+	body := strings.Repeat("x", 7<<20)
+	f := newFixture(t, servicePlain, io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, body) })
+	got, err := f.open(context.Background(), "POST", "/pay/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = got.Body.Close() }()
+	time.Sleep(2 * flushTime)
+	if f.server.Drained() {
+		t.Error("the server has drained while a part of the answer isn't sent")
+	}
+	read, err := io.ReadAll(got.Body)
+	if err != nil || len(read) != len(body) {
+		t.Errorf("got %d of %d bytes, %v", len(read), len(body), err)
+	}
+}
