Log what kept a refused prompt from its engines

A refusal named the queue and the pressure, but not whether engines lacked room or whether other answers would have paused for too long.

--- a/internal/receiver/server.go
+++ b/internal/receiver/server.go
@@ -392,7 +392,7 @@
 	}
 	if f.decision != nil {
 		line = line.Int("prompt", r.promptTokens).Int("output", r.outputTokens).Int("queued", f.decision.Queued).
-			Int("engines", f.decision.Engines).Float64("pressure", f.decision.Pressure)
+			Int("engines", f.decision.Engines).Float64("pressure", f.decision.Pressure).Str("obstacle", string(f.decision.Obstacle))
 	}
 	line.Msg("receiver: not served")
 }
--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -135,6 +135,8 @@
 	// Retried is set if the request was already sent to an engine; it is exempt from admission control and the queue time
 	// limit.
 	Retried bool
+	// obstacle is why the latest search found no engines.
+	obstacle Obstacle
 }
 
 // Placement describes the engines chosen for a request.
@@ -181,8 +183,23 @@
 	// Engines is the number of engines, and Pressure the prefill demand as a share of their capacity.
 	Engines  int
 	Pressure float64
+	// Obstacle is why the latest search found no engines; it is empty if there was none.
+	Obstacle Obstacle
 }
 
+// Obstacle is why no engines were found for a request.
+type Obstacle string
+
+// Obstacles of a request.
+const (
+	// ObstacleEngines means that too few engines are usable, or may help.
+	ObstacleEngines Obstacle = "engines"
+	// ObstacleRoom means that the engines lack free slots or memory.
+	ObstacleRoom Obstacle = "room"
+	// ObstaclePauses means that other requests would lose more value than the request has.
+	ObstaclePauses Obstacle = "pauses"
+)
+
 func (Place) decision()  {}
 func (Refuse) decision() {}
 
--- a/pkg/scheduler/decide.go
+++ b/pkg/scheduler/decide.go
@@ -151,6 +151,7 @@
 			Queued:     len(s.queue),
 			Engines:    len(s.order),
 			Pressure:   s.pressure,
+			Obstacle:   r.obstacle,
 		}
 	}
 	if s.anyEngine(r) == nil || s.allExcluded(r) {
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -15,7 +15,9 @@
 	}
 	s.searches++
 	candidates := s.candidates(now, r)
+	r.obstacle = ""
 	if len(candidates) == 0 {
+		r.obstacle = ObstacleEngines
 		return Placement{}, false
 	}
 	best := choice{}
@@ -127,6 +129,7 @@
 		}
 	}
 	if best.engine == nil {
+		r.obstacle = ObstacleRoom
 		return choice{}, false
 	}
 	c := choice{
@@ -179,6 +182,7 @@
 	}
 	slices.SortStableFunc(options, option.compare)
 	if len(options) < parts {
+		r.obstacle = ObstaclePauses
 		return choice{}, false
 	}
 	first := slices.IndexFunc(options, func(o option) bool { return o.fits })
@@ -201,7 +205,11 @@
 		c.helpers = append(c.helpers, o.engine)
 		c.cost = max(c.cost, o.cost+time.Duration(parts)*s.settings.PartCost)
 	}
-	return c, len(c.helpers) == parts-1 && s.worthwhile(now, r, c.cost, lost)
+	if len(c.helpers) < parts-1 {
+		r.obstacle = ObstacleEngines
+		return choice{}, false
+	}
+	return c, s.worthwhile(now, r, c.cost, lost)
 }
 
 // chooseWithSplitMemory finds engines for a prompt that exceeds the memory of every single one; all of them may help another one.
@@ -220,7 +228,11 @@
 		cost = max(cost, o.cost)
 		lost += o.valueLost
 	}
-	if len(engines) < parts || !s.worthwhile(now, r, cost, lost) {
+	if len(engines) < parts {
+		r.obstacle = ObstacleEngines
+		return choice{}, false
+	}
+	if !s.worthwhile(now, r, cost, lost) {
 		return choice{}, false
 	}
 	return s.splitMemory(r, engines, cost+time.Duration(parts)*s.settings.PartCost)
@@ -228,7 +240,11 @@
 
 // worthwhile reports whether the value of a request exceeds the value that other requests lose.
 func (s *Scheduler) worthwhile(now time.Time, r *Request, cost time.Duration, lost int) bool {
-	return lost == 0 || r.valueAt(now.Add(cost)) > (1-lateShare)*float64(lost)
+	if lost == 0 || r.valueAt(now.Add(cost)) > (1-lateShare)*float64(lost) {
+		return true
+	}
+	r.obstacle = ObstaclePauses
+	return false
 }
 
 // splitMemory divides the memory of a prompt that exceeds every single engine: the first engine holds as much as it can, the
@@ -259,6 +275,9 @@
 		c.helpers = append(c.helpers, e)
 		c.reserved = append(c.reserved, tokens)
 	}
+	if missing > 0 {
+		r.obstacle = ObstacleRoom
+	}
 	return c, missing <= 0
 }
 
