--- a/pkg/scheduler/load_test.go
+++ b/pkg/scheduler/load_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +22,10 @@
 	output               int
 	target, pause        time.Duration
 	limit                time.Duration
+	// write is the time per output token, in steps without prefill; zero means 1.3.
+	write float64
+	// from and to are the time in which the class is asked for; zero means the whole load.
+	from, to time.Duration
 }
 
 // outcomeCount counts the requests of a class by their outcome.
@@ -75,6 +81,8 @@
 type playedRequest struct {
 	request Request
 	class   string
+	write   float64
+	served  bool
 }
 
 type event struct {
@@ -121,7 +129,7 @@
 		MaxPause:      c.pause,
 		Deadline:      now.Add(c.limit),
 	}
-	p.requests[id] = &playedRequest{request: r, class: p.label(c, int(prompt))}
+	p.requests[id] = &playedRequest{request: r, class: p.label(c, int(prompt)), write: c.write}
 	p.count(id).asked++
 	p.scheduler.Submit(r)
 }
@@ -173,8 +181,9 @@
 		} else {
 			p.count(d.Request).late++
 		}
+		p.requests[d.Request].served = true
 		p.scheduler.Started(now, d.Request)
-		writes := time.Duration(float64(r.OutputTokens) * 1.3 * float64(e.stepTime()))
+		writes := time.Duration(float64(r.OutputTokens) * cmp.Or(p.requests[d.Request].write, 1.3) * float64(e.stepTime()))
 		p.at(now.Add(writes), func(now time.Time) {
 			e.decoding--
 			e.contextTokens -= r.PromptTokens
@@ -249,7 +258,11 @@
 	s.SetEngines(list)
 	end := start.Add(l.length)
 	for _, c := range l.classes {
-		p.at(start, func(now time.Time) { p.arrive(now, end, c) })
+		last := end
+		if c.to > 0 {
+			last = start.Add(c.to)
+		}
+		p.at(start.Add(c.from), func(now time.Time) { p.arrive(now, last, c) })
 	}
 	nextDecision := start
 	for p.events.Len() > 0 || s.Queued() > 0 {
@@ -297,6 +310,76 @@
 	}
 }
 
+// during returns classes that are asked for within a time only.
+func during(from, to time.Duration, classes []class) []class {
+	for i := range classes {
+		classes[i].from, classes[i].to = from, to
+	}
+	return classes
+}
+
+// writingSlowly returns classes whose answers take as long as on engines that read other prompts between their tokens.
+func writingSlowly(classes []class) []class {
+	for i := range classes {
+		switch classes[i].name {
+		case "ledger":
+			classes[i].write = 2.5
+		case "review":
+			classes[i].write = 3.2
+		}
+	}
+	return classes
+}
+
+// servedBySize returns the served shares of the largest tenth of a class, of the fifth below it, and of the whole class.
+func (p *loadPlay) servedBySize(name string) (tenth, fifth, whole float64) {
+	var list []*playedRequest
+	for _, r := range p.requests {
+		if r.class == name || r.class == name+", beyond one engine" {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *playedRequest) int { return b.request.PromptTokens - a.request.PromptTokens })
+	share := func(part []*playedRequest) float64 {
+		served := 0
+		for _, r := range part {
+			if r.served {
+				served++
+			}
+		}
+		return float64(served) / float64(len(part))
+	}
+	n := len(list) / 10
+	return share(list[:n]), share(list[n : 3*n]), share(list)
+}
+
+// Guards against the largest prompts being served far less often than others of their kind (pattern: three bursts nearly without a gap,
+// reviews, statements and reviews again, and engines that turn slow within the first; scale-2 of the large site). The users' gate asks
+// that the largest tenth is served at least half as often as the kind.
+func TestLargestPromptsInBursts(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			tenth, fifth, whole := play(load{
+				seed:    seed,
+				engines: 112,
+				slots:   10,
+				steps:   68,
+				length:  33 * time.Second,
+				slow:    slowPeriod{from: 6590 * time.Millisecond, to: 12400 * time.Millisecond, share: 0.13, factor: 3.5},
+				classes: slices.Concat(
+					during(2*time.Second, 11500*time.Millisecond, writingSlowly(mix(54, 16, 17))),
+					during(12*time.Second, 21500*time.Millisecond, writingSlowly(mix(398, 6, 0.3))),
+					during(23*time.Second, 32500*time.Millisecond, writingSlowly(mix(51, 16, 17.3))),
+				),
+			}).servedBySize("review")
+			if tenth < whole/2 || fifth < whole/2 {
+				t.Errorf("of the largest tenth %.2f were served, of the fifth below it %.2f, of all reviews %.2f", tenth, fifth, whole)
+			}
+		})
+	}
+}
+
 // Guards against a prompt that exceeds one engine's memory by less than the smallest reservation, and finds no engines.
 func TestPromptSlightlyBeyondOneEngineIsPlaced(t *testing.T) {
 	room := int(DefaultSettings().MemoryShare * float64(speed.MemoryTokens))
