End a target's part in a call once its answer has been received

Since the handler sends answers itself, a target counted as busy, and its connection stayed open, until a slow caller had read its answer: of 20 calls beside one such caller all went to the other target (TestSlowReaderIsInProgress). It is now done as soon as its answer has been received. A caller that doesn't read its answer is logged as caller_gone and no longer as a failure of the target.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -169,6 +169,8 @@
 		message = last.Error()
 	}
 	switch {
+	case errors.Is(last, errCallerWrite):
+		return callerGone(message)
 	case r.sends == 0 && ended(ctx):
 		return refuseLeaving()
 	case r.sends == 0 && expired(ctx):
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -46,6 +46,11 @@
 		if result == verdictAnswer || result == verdictUnknown {
 			r.sends++
 		}
+		received := false
+		t.onReceived = func() {
+			received = true
+			s.options.Control.Done(d.id, balancer.Answered)
+		}
 		again := result == verdictAnswer && answer.Status >= serverError && !w.begun && s.takeRetry(r)
 		if result == verdictAnswer && !again {
 			result, err = t.forward(answer, r.id, nil)
@@ -54,7 +59,9 @@
 			answer.Close()
 		}
 		t.lastErr, previous = err, result
-		s.options.Control.Done(d.id, balancerOutcome(ctx, result, err))
+		if !received {
+			s.options.Control.Done(d.id, balancerOutcome(ctx, result, err))
+		}
 		s.logAttempt(r, d, result, err)
 		if result == verdictAnswer && !again {
 			return nil
--- a/internal/receiver/stop_test.go
+++ b/internal/receiver/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,11 +127,22 @@
 }
 
 // Guards against a process that exits while it still sends an answer to a caller that reads slowly: such a request must count as in
-// progress until the connection has taken the whole answer (review/3).
+// progress until the connection has taken the whole answer (review/3). Its target isn't busy with it any more.
 func TestSlowReaderIsInProgress(t *testing.T) {
 	// More than the buffers of both sockets hold.
 	body := strings.Repeat("x", 7<<20)
-	f := newFixture(t, servicePlain, io.Discard, func(w http.ResponseWriter, r *http.Request) { answer(w, r, body) })
+	var first, second atomic.Int64
+	target := func(count *atomic.Int64) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(soundRequest) == "" {
+				answer(w, r, body)
+				return
+			}
+			count.Add(1)
+			answer(w, r, "paid")
+		}
+	}
+	f := newFixture(t, servicePlain, io.Discard, target(&first), target(&second))
 	got, err := f.open(context.Background(), "POST", "/pay/x")
 	if err != nil {
 		t.Fatal(err)
@@ -140,6 +152,12 @@
 	if f.server.Drained() {
 		t.Error("the server has drained while a part of the answer isn't sent")
 	}
+	for i := range 20 {
+		assertStatus(t, f.ask(context.Background(), "POST", "/look/x", func(r *http.Request) { r.Header.Set(soundRequest, strconv.Itoa(i)) }), http.StatusOK)
+	}
+	if answeredBoth := first.Load() > 0 && second.Load() > 0; !answeredBoth {
+		t.Errorf("the targets answered %d and %d calls: one counts as busy with an answer that it has sent", first.Load(), second.Load())
+	}
 	read, err := io.ReadAll(got.Body)
 	if err != nil || len(read) != len(body) {
 		t.Errorf("got %d of %d bytes, %v", len(read), len(body), err)
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -86,6 +86,8 @@
 	lastEventID string
 	// lastErr is the error of the last attempt.
 	lastErr error
+	// onReceived is called when a whole answer has been received, before it is passed on; it may be nil.
+	onReceived func()
 	// placementRequests counts the calls to the scheduler; it makes the ids unique.
 	placementRequests atomic.Int64
 	// first is the time from the request's arrival to the first event, longestPause the longest time between two events,
@@ -370,6 +372,11 @@
 	if err := body.ReadAll(answer.Body, maxAnswerBytes); err != nil {
 		return verdictUnknown, err
 	}
+	// The caller may read slowly; the target is done.
+	answer.Close()
+	if t.onReceived != nil {
+		t.onReceived()
+	}
 	if err := t.writer.writeAnswer(answer, body.Bytes()); err != nil {
 		return verdictUnknown, errors.Join(errCallerWrite, err)
 	}
