Let prompts beyond one engine's memory wait while they can be served in time

Cause: such a prompt needs room on up to 16 engines at once.

Change: it stays queued for as long as its answer can be complete in time, estimated with a factor for busy engines. A request that has missed its target latency is searched for at most every 50 ms, since each search compares all engines for all numbers of parts.

--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -48,6 +48,8 @@
 	// Requests that cannot be served in time are refused early enough for the caller to go elsewhere.
 	MaxQueueShare float64
 	MinQueueTime  time.Duration
+	// BusyFactor is how much longer than without other requests an answer takes on busy engines.
+	BusyFactor float64
 	// MaxPart is the prefill time of one part above which a prompt is split into more parts, as far as MaxParts, MinPart
 	// and the number of engines allow; longer parts would block an engine for too long.
 	MaxPart time.Duration
@@ -86,6 +88,7 @@
 		FirstEventGrace: 1500 * time.Millisecond,
 		MaxQueueShare:   1,
 		MinQueueTime:    600 * time.Millisecond,
+		BusyFactor:      3,
 		MaxPart:         600 * time.Millisecond,
 		PressureTime:    1500 * time.Millisecond,
 		FreePressure:    0.45,
@@ -135,8 +138,9 @@
 	// Retried is set if the request was already sent to an engine; it is exempt from admission control and the queue time
 	// limit.
 	Retried bool
-	// obstacle is why the latest search found no engines.
-	obstacle Obstacle
+	// obstacle is why the latest search found no engines, and nextSearch when the next one is due.
+	obstacle   Obstacle
+	nextSearch time.Time
 }
 
 // Placement describes the engines chosen for a request.
--- a/pkg/scheduler/decide.go
+++ b/pkg/scheduler/decide.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/matcher"
 )
 
 // Decide returns the placements and refusals that are due now; other requests stay queued.
@@ -135,9 +137,21 @@
 	return tokens
 }
 
-// maxQueueTime returns how long a request may stay queued.
+// maxQueueTime returns how long a request may stay queued. A prompt beyond one engine's memory finds room only between bursts, so it waits
+// for as long as its answer can be complete in time; after a refusal its caller would come back to the same engines.
 func (s *Scheduler) maxQueueTime(r *Request) time.Duration {
-	return max(s.settings.MinQueueTime, time.Duration(s.settings.MaxQueueShare*float64(r.TargetLatency)))
+	longest := max(s.settings.MinQueueTime, time.Duration(s.settings.MaxQueueShare*float64(r.TargetLatency)))
+	if e := s.anyEngine(r); e != nil && r.plannedMemory() > int(s.settings.MemoryShare*float64(e.Speed.MemoryTokens)) {
+		longest = max(longest, r.Deadline.Sub(r.Arrived)-s.answerTime(r, &e.Speed))
+	}
+	return longest
+}
+
+// answerTime returns how long the engines take for a prompt that as many as possible share, and for its answer, on busy engines.
+func (s *Scheduler) answerTime(r *Request, speed *matcher.Engine) time.Duration {
+	prefill := prefillTime(speed, r.PromptTokens, s.settings.MaxParts)
+	decode := time.Duration(r.OutputTokens) * speed.Step
+	return time.Duration(s.settings.BusyFactor * float64(prefill+decode))
 }
 
 func (s *Scheduler) decide(now time.Time, r *Request) Decision {
@@ -173,12 +187,17 @@
 		}
 		return nil
 	}
-	placement, found := s.place(now, r)
-	if found {
-		placement.Waited = waited
-		return Place{
-			Request:   r.ID,
-			Placement: placement,
+	if !now.Before(r.nextSearch) {
+		placement, found := s.place(now, r)
+		if found {
+			placement.Waited = waited
+			return Place{
+				Request:   r.ID,
+				Placement: placement,
+			}
+		}
+		if waited > r.TargetLatency {
+			r.nextSearch = now.Add(lateSearchInterval)
 		}
 	}
 	if !r.Retried && waited > s.maxQueueTime(r) {
@@ -187,6 +206,10 @@
 	return nil
 }
 
+// lateSearchInterval is the time between two searches for engines for a request that has missed its target latency. Each search for a
+// long prompt compares all engines for all numbers of parts.
+const lateSearchInterval = 50 * time.Millisecond
+
 const (
 	// noEngineRetry is the retry delay if no engine is in service: an engine takes seconds to start.
 	noEngineRetry = time.Second
