Assume less time for the answer of a prompt that waits

With three times the work of an idle engine, waiting prompts were refused 5 to 10 s before their time limit, some a second before a burst ended. The factor is 1.5 now.

--- a/pkg/scheduler/api.go
+++ b/pkg/scheduler/api.go
@@ -88,7 +88,7 @@
 		FirstEventGrace: 1500 * time.Millisecond,
 		MaxQueueShare:   1,
 		MinQueueTime:    600 * time.Millisecond,
-		BusyFactor:      3,
+		BusyFactor:      1.5,
 		MaxPart:         600 * time.Millisecond,
 		PressureTime:    1500 * time.Millisecond,
 		FreePressure:    0.45,
