Count crashes at any time of an answer against its prompt

Cause: a crash counted only up to 250 ms after the first event, though the pass after it takes up to 470 ms there. A broken answer older than that was even reported as sound, which removed all evidence against its parts.

Change: only a complete answer is reported as sound. A crash counts fully while the answer is younger than a pass of the engine and 250 ms, and half after that: neighbours whose answers had run for long are weak evidence.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -673,7 +673,7 @@
 	}
 }
 
-// Crashed reports a request on which an engine crashed as it began the answer, or just before.
+// Crashed reports a request whose answer an engine was about to begin, or had begun, when it crashed.
 func (c *Coordinator) Crashed(crash isolator.Crash) {
 	c.messages <- engineCrashed{
 		crash: crash,
--- a/internal/coordinator/isolation.go
+++ b/internal/coordinator/isolation.go
@@ -23,6 +23,7 @@
 			Started: crash.Started.UnixMilli(),
 			Request: crash.Request,
 			Parts:   crash.Parts,
+			Late:    crash.Late,
 		})
 	}
 }
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -379,6 +379,7 @@
 				Started: time.UnixMilli(p.Started),
 				Request: p.Request,
 				Parts:   p.Parts,
+				Late:    p.Late,
 			})
 		})
 	case methodSound:
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -137,6 +137,7 @@
 	Started int64         `json:"started"`
 	Request namer.Request `json:"request"`
 	Parts   []namer.Part  `json:"parts"`
+	Late    bool          `json:"late,omitempty"`
 }
 
 // leavesMessage reports that a run of a target has said that it leaves.
--- a/internal/receiver/inspector.go
+++ b/internal/receiver/inspector.go
@@ -9,12 +9,23 @@
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/isolator"
+	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 )
 
-// onsetTime is how long after the first event of an answer a crash may still come from its beginning.
-const onsetTime = 250 * time.Millisecond
+// onsetMargin is added to the length of a pass for the time from an engine's crash until its connections are seen to break.
+const onsetMargin = 250 * time.Millisecond
+
+// onsetTime returns how long after the first event of an answer a crash counts as caused by its beginning: the pass after that event,
+// which may prefill a chunk of other prompts in each step.
+func onsetTime(e *matcher.Engine) time.Duration {
+	step := e.Step
+	if e.PrefillRate > 0 {
+		step += time.Duration(float64(e.ChunkTokens) / e.PrefillRate * float64(time.Second))
+	}
+	return time.Duration(e.StepsPerPass)*step + onsetMargin
+}
 
 // isolatedUntil returns the end of the isolation of a part of the request's prompt, if one is isolated.
 func (s *Server) isolatedUntil(r *request) (time.Time, bool) {
@@ -45,24 +56,16 @@
 	}
 }
 
-// reportBeginning reports how an engine took the beginning of an answer, from which the parts of prompts are found that crash engines.
-func (t *transfer) reportBeginning(p scheduler.Placement, outcome scheduler.Outcome, err error) {
+// reportEnd reports how an attempt has ended, from which the parts of prompts are found that crash engines. Only a complete answer shows
+// that its parts are sound: an engine may crash on them at any time of the answer.
+func (t *transfer) reportEnd(p scheduler.Placement, outcome scheduler.Outcome, err error) {
 	s, r := t.server, t.request
 	begun := !t.attemptBegan.IsZero()
-	young := begun && s.options.Clock.Now().Sub(t.attemptBegan) < onsetTime
 	switch {
 	case outcome == scheduler.Failed && brokenOff(err):
-		go s.inspect(r, firstEngine(r, p), begun, !begun || young)
-		if begun && !young {
-			s.reportSound(r)
-		}
-	case outcome == scheduler.Finished && begun:
-		s.reportSound(r)
-	}
-}
-
-func (s *Server) reportSound(r *request) {
-	if len(r.parts) > 0 {
+		onset := !begun || s.options.Clock.Now().Sub(t.attemptBegan) < onsetTime(r.service.Engine)
+		go s.inspect(r, firstEngine(r, p), begun, onset)
+	case outcome == scheduler.Finished && begun && len(r.parts) > 0:
 		s.options.Control.Sound(r.parts)
 	}
 }
@@ -72,8 +75,8 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// inspect finds out whether the engine of a broken attempt has ended, or only the connection to it. If it has crashed at the onset of
-// the answer, the prompt may be the cause.
+// inspect finds out whether the engine of a broken attempt has ended, or only the connection to it. If it has crashed, the prompt may be
+// the cause.
 func (s *Server) inspect(r *request, engine Reservation, begun, onset bool) {
 	started := s.options.Control.View().Catalogue.Targets[engine.Engine].Started
 	err := s.order(context.Background(), engine, s.options.Orders.Check(engine))
@@ -82,12 +85,13 @@
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(engine.Engine)).Bool("ended", ended).
 		Bool("begun", begun).Bool("onset", onset).Strs("parts", namer.PartNames(r.parts)).Err(err).
 		Msg("receiver: engine of a broken attempt")
-	if ended && onset && len(r.parts) > 0 {
+	if ended && len(r.parts) > 0 {
 		s.options.Control.Crashed(isolator.Crash{
 			Engine:  engine.Engine,
 			Started: started,
 			Request: r.id,
 			Parts:   r.parts,
+			Late:    !onset,
 		})
 	}
 }
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -276,7 +276,7 @@
 	if result != verdictAnswer {
 		s.logAttempt(r, d, result, err)
 	}
-	t.reportBeginning(p, outcome, err)
+	t.reportEnd(p, outcome, err)
 	return result, successor, err
 }
 
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -12,7 +12,7 @@
 // Settings are the tuning parameters of an isolator.
 type Settings struct {
 	// MinCrashes is the number of crashes at which a part counts as their cause, and SoundCrashes that for a part with which answers
-	// have begun before. MinRequests is the number of different requests that must have been involved. TieCrashes is the number at
+	// have been completed before; a late crash counts half. MinRequests is the number of different requests that must have been involved. TieCrashes is the number at
 	// which the part is chosen by its place in the prompt, if nothing else tells it from another one.
 	MinCrashes   int
 	SoundCrashes int
@@ -53,7 +53,7 @@
 	}
 }
 
-// Crash reports a request on which an engine was about to begin, or had just begun, its answer when it crashed.
+// Crash reports a request whose answer an engine was about to begin, or had begun, when it crashed.
 type Crash struct {
 	Engine namer.Target
 	// Started distinguishes the runs of an engine under the same ID.
@@ -61,6 +61,8 @@
 	Request namer.Request
 	// Parts are the shared parts of the request's prompt, in order.
 	Parts []namer.Part
+	// Late is set if the answer had begun before the pass in which the engine crashed.
+	Late bool
 }
 
 // Isolation says that requests with a part are kept away from engines.
@@ -76,7 +78,7 @@
 type Isolator struct {
 	settings Settings
 	crashes  []*crash
-	// sound and olderSound hold when an answer last began without a crash, by part, in two generations.
+	// sound and olderSound hold when an answer was last completed, by part, in two generations.
 	sound      map[namer.Part]time.Time
 	olderSound map[namer.Part]time.Time
 	isolated   map[namer.Part]Isolation
@@ -100,6 +102,8 @@
 	requests map[namer.Request]bool
 	// place is the part's greatest index in a prompt.
 	place int
+	// onset is set if the engine crashed at the beginning of an answer to one of the requests.
+	onset bool
 }
 
 // New returns an isolator that has seen nothing.
@@ -128,6 +132,7 @@
 		}
 		s.requests[c.Request] = true
 		s.place = max(s.place, place)
+		s.onset = s.onset || !c.Late
 	}
 }
 
@@ -191,24 +196,31 @@
 	return k
 }
 
+// Weights of a crash in the evidence against a part.
+const (
+	onsetWeight = 2
+	lateWeight  = 1
+)
+
 // evidence is what speaks against a part.
 type evidence struct {
-	part    namer.Part
-	crashes int
-	place   int
-	sound   bool
+	part namer.Part
+	// weight is the sum of the weights of the crashes.
+	weight int
+	place  int
+	sound  bool
 }
 
-// compare orders the likeliest cause first: the part at most crashes, then one that was never answered, then one that stands late in
+// compare orders the likeliest cause first: the part with the greatest weight, then one that was never answered, then one that stands late in
 // prompts, since fewer requests share it.
 func (e evidence) compare(other evidence) int {
-	if e.crashes == other.crashes && e.sound != other.sound {
+	if e.weight == other.weight && e.sound != other.sound {
 		if e.sound {
 			return 1
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(other.crashes, e.crashes), cmp.Compare(other.place, e.place), cmp.Compare(e.part, other.part))
+	return cmp.Or(cmp.Compare(other.weight, e.weight), cmp.Compare(other.place, e.place), cmp.Compare(e.part, other.part))
 }
 
 // cause returns the part that has caused the crashes that aren't explained yet, if they show it.
@@ -220,7 +232,7 @@
 		if e.sound {
 			enough = i.settings.SoundCrashes
 		}
-		if e.crashes >= enough && requests >= i.settings.MinRequests {
+		if e.weight >= onsetWeight*enough && requests >= i.settings.MinRequests {
 			list = append(list, e)
 		}
 	}
@@ -231,8 +243,8 @@
 	first := list[0]
 	if len(list) > 1 {
 		second := list[1]
-		distinct := first.crashes > second.crashes || second.sound && !first.sound
-		if !distinct && first.crashes < i.settings.TieCrashes {
+		distinct := first.weight > second.weight || second.sound && !first.sound
+		if !distinct && first.weight < onsetWeight*i.settings.TieCrashes {
 			return "", false
 		}
 	}
@@ -258,7 +270,14 @@
 	return all
 }
 
-// evidence counts the crashes that a part may have caused, and the requests with it.
+func (s *suspect) weight() int {
+	if s.onset {
+		return onsetWeight
+	}
+	return lateWeight
+}
+
+// evidence weighs the crashes that a part may have caused, and the requests with it.
 func (i *Isolator) evidence(p namer.Part) (e evidence, requests int) {
 	e.part = p
 	e.sound = !i.lastSound(p).IsZero()
@@ -272,14 +291,14 @@
 		maps.Copy(involved, s.requests)
 		e.place = max(e.place, s.place)
 		if last.IsZero() || k.at.Sub(last) >= i.settings.MinSpacing {
-			e.crashes++
+			e.weight += s.weight()
 			last = k.at
 		}
 	}
 	return e, len(involved)
 }
 
-// Sound records that an engine has begun an answer to a prompt with the given parts and hasn't crashed: earlier crashes don't count
+// Sound records that an engine has completed an answer to a prompt with the given parts: earlier crashes don't count
 // against them, and they are no longer isolated. It returns the parts whose isolation ends.
 func (i *Isolator) Sound(now time.Time, parts []namer.Part) []namer.Part {
 	var ended []namer.Part
@@ -304,7 +323,7 @@
 	i.sound[p] = now
 }
 
-// lastSound returns when an answer with the part last began without a crash; it is zero if none is remembered.
+// lastSound returns when an answer with the part was last completed; it is zero if none is remembered.
 func (i *Isolator) lastSound(p namer.Part) time.Time {
 	if at, found := i.sound[p]; found {
 		return at
@@ -324,7 +343,7 @@
 }
 
 // Add adds an isolation that another instance has begun, and reports whether it changes anything. One is left out if an answer with the
-// part has begun since.
+// part has been completed since.
 func (i *Isolator) Add(added Isolation) bool {
 	if i.lastSound(added.Part).After(added.Until.Add(-added.Hold)) {
 		return false
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// lateCrashes reports crashes of engines long after the beginning of an answer, one after the other.
+func lateCrashes(i *Isolator, count int, parts ...namer.Part) {
+	for n := range count {
+		i.Crashed(at(200*n), Crash{
+			Engine:  namer.Target(fmt.Sprint("engine-", n)),
+			Request: namer.Request(fmt.Sprint("request-", n)),
+			Parts:   parts,
+			Late:    true,
+		})
+		i.Decide(at(200*n + settled))
+	}
+}
+
 // settled is the time in milliseconds after which a crash counts.
 const settled = 150
 
@@ -103,6 +116,20 @@
 			crashes(i, 100, 200, 5, "first", "deadly")
 			crashes(i, 2000, 200, 5, "first", "fatal")
 		}, want: []namer.Part{"deadly", "fatal"}},
+		{name: "too few crashes long after the beginning of an answer", play: func(i *Isolator) {
+			lateCrashes(i, 7, "popular")
+		}},
+		{name: "many crashes long after the beginning of an answer", play: func(i *Isolator) {
+			lateCrashes(i, 8, "deadly")
+		}, want: []namer.Part{"deadly"}},
+		{name: "a neighbour whose answer had begun long before", play: func(i *Isolator) {
+			for n := range 5 {
+				engine := namer.Target(fmt.Sprint("engine-", n))
+				i.Crashed(at(200*n), Crash{Engine: engine, Request: namer.Request(fmt.Sprint("n", n)), Parts: []namer.Part{"neighbour"}, Late: true})
+				i.Crashed(at(200*n), Crash{Engine: engine, Request: namer.Request(fmt.Sprint("d", n)), Parts: []namer.Part{"deadly"}})
+				i.Decide(at(200*n + settled))
+			}
+		}, want: []namer.Part{"deadly"}},
 		{name: "requests without shared parts", play: func(i *Isolator) {
 			crashes(i, 0, 200, 8)
 		}},
