Isolate a request that crashes engines whenever it is sent

Cause: only the parts of prompts were candidates for what crashes engines. The parts of this request are sound, and each answer with them removed the evidence.

Change: the request as a whole is a candidate, by a digest of route, customer, parts, token counts and body. A complete answer removes the evidence against its digest; digests are not remembered as sound, which keeps the parts in the bounded memory.

--- a/internal/receiver/crash_test.go
+++ b/internal/receiver/crash_test.go
@@ -120,13 +120,33 @@
 			engines.after = c.after
 			f := newFixtureWithChecks(t, "engine", io.Discard, handlers...)
 			engines.restart = f.restart
-			assertPartIsIsolated(t, f, engines)
+			assertIsolated(t, f, engines, func(i int) string { return fmt.Sprintf("f1:40,dead1y:900,a%d:60", i) })
 		})
 	}
 }
 
-// assertPartIsIsolated sends requests with and without the part on which the engines crash.
-func assertPartIsIsolated(t *testing.T, f fixture, engines *fragileEngines) {
+// Guards against one request that crashes engines whenever it is sent again under a new ID (the users' deadly day: 34 to 86 engines
+// crashed). The parts of its prompt are sound, and others are answered with them all the time.
+func TestCrashingRequestIsIsolated(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		parts string
+	}{
+		{name: "with sound parts", parts: "f1:40,b:900,dead1y:60"},
+		{name: "without shared parts", parts: "dead1y:60"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			engines, handlers := newFragileEngines(t, 12, "dead1y")
+			f := newFixtureWithChecks(t, "engine", io.Discard, handlers...)
+			engines.restart = f.restart
+			assertIsolated(t, f, engines, func(int) string { return c.parts })
+		})
+	}
+}
+
+// assertIsolated sends requests on which the engines crash, with the given parts, beside sound ones.
+func assertIsolated(t *testing.T, f fixture, engines *fragileEngines, parts func(i int) string) {
 	t.Helper()
 	ask := func(id, parts string) response {
 		return f.ask(context.Background(), "POST", "/stream/x", func(r *http.Request) {
@@ -135,11 +155,11 @@
 		})
 	}
 	for i := range 30 {
-		bad := ask(fmt.Sprint("bad-", i), fmt.Sprintf("f1:40,dead1y:900,a%d:60", i))
+		bad := ask(fmt.Sprint("bad-", i), parts(i))
 		if bad.status == http.StatusOK && (bad.err == nil || !engines.late) {
 			t.Fatalf("a request that crashes engines was answered: %q", bad.body)
 		}
-		sound := ask(fmt.Sprint("sound-", i), fmt.Sprintf("f1:40,b%d:60", i))
+		sound := ask(fmt.Sprint("sound-", i), fmt.Sprintf("f1:40,b:900,c%d:60", i))
 		assertStatus(t, sound, http.StatusOK)
 		time.Sleep(120 * time.Millisecond)
 	}
--- a/internal/receiver/inspector.go
+++ b/internal/receiver/inspector.go
@@ -27,14 +27,14 @@
 	return time.Duration(e.StepsPerPass)*step + onsetMargin
 }
 
-// isolatedUntil returns the end of the isolation of a part of the request's prompt, if one is isolated.
+// isolatedUntil returns the end of the isolation of one of the request's candidates, if one is isolated.
 func (s *Server) isolatedUntil(r *request) (time.Time, bool) {
 	isolated := s.options.Control.View().Isolated
 	if len(isolated) == 0 {
 		return time.Time{}, false
 	}
 	now := s.options.Clock.Now()
-	for _, p := range r.parts {
+	for _, p := range r.candidates {
 		if until, found := isolated[p]; found && now.Before(until) {
 			return until, true
 		}
@@ -42,7 +42,7 @@
 	return time.Time{}, false
 }
 
-// refuseIsolated refuses a request whose prompt has a part on which engines crash; nil if it has none. The caller isn't told that the
+// refuseIsolated refuses a request if engines crash on it or on a part of its prompt; nil if they don't. The caller isn't told that the
 // request hasn't run if an engine had it before.
 func (s *Server) refuseIsolated(ctx context.Context, r *request) *refusal {
 	until, isolated := s.isolatedUntil(r)
@@ -56,8 +56,8 @@
 	}
 }
 
-// reportEnd reports how an attempt has ended, from which the parts of prompts are found that crash engines. Only a complete answer shows
-// that its parts are sound: an engine may crash on them at any time of the answer.
+// reportEnd reports how an attempt has ended, from which the requests and the parts of prompts are found that crash engines. Only a
+// complete answer shows that they are sound: an engine may crash on them at any time of the answer.
 func (t *transfer) reportEnd(p scheduler.Placement, outcome scheduler.Outcome, err error) {
 	s, r := t.server, t.request
 	begun := !t.attemptBegan.IsZero()
@@ -65,8 +65,8 @@
 	case outcome == scheduler.Failed && brokenOff(err):
 		onset := !begun || s.options.Clock.Now().Sub(t.attemptBegan) < onsetTime(r.service.Engine)
 		go s.inspect(r, firstEngine(r, p), begun, onset)
-	case outcome == scheduler.Finished && begun && len(r.parts) > 0:
-		s.options.Control.Sound(r.parts)
+	case outcome == scheduler.Finished && begun:
+		s.options.Control.Sound(r.candidates)
 	}
 }
 
@@ -83,14 +83,14 @@
 	ended := engineEnded(err)
 	s.options.Metrics.recordBroken(ended, begun)
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(engine.Engine)).Bool("ended", ended).
-		Bool("begun", begun).Bool("onset", onset).Strs("parts", namer.PartNames(r.parts)).Err(err).
+		Bool("begun", begun).Bool("onset", onset).Strs("parts", namer.PartNames(r.candidates)).Err(err).
 		Msg("receiver: engine of a broken attempt")
-	if ended && len(r.parts) > 0 {
+	if ended {
 		s.options.Control.Crashed(isolator.Crash{
 			Engine:  engine.Engine,
 			Started: started,
 			Request: r.id,
-			Parts:   r.parts,
+			Parts:   r.candidates,
 			Late:    !onset,
 		})
 	}
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +13,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/coordinator"
 	"bergamothollow.example/bergamothollow/internal/forwarder"
+	"bergamothollow.example/bergamothollow/pkg/isolator"
 	"bergamothollow.example/bergamothollow/pkg/matcher"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
@@ -30,8 +34,8 @@
 	callerDeadline time.Time
 	deadline       time.Time
 	promptTokens   int
-	// parts are the parts of the prompt that other prompts may share.
-	parts []namer.Part
+	// candidates are what may crash engines: the parts of the prompt that other prompts may share, and the request as a whole.
+	candidates []namer.Part
 	// outputTokens is the smaller of the caller's limit and its estimate; 0 if it states neither.
 	outputTokens int
 	// lastEventID is the ID of the event after which the caller resumes a stream.
@@ -79,7 +83,7 @@
 		case strings.EqualFold(name, names.Tokens):
 			r.promptTokens, r.outputTokens = tokens(text)
 		case strings.EqualFold(name, names.Parts):
-			r.parts = append(r.parts, sharedParts(text)...)
+			r.candidates = append(r.candidates, sharedParts(text)...)
 		case strings.EqualFold(name, names.LengthHint):
 			lengthHint, _ = strconv.Atoi(text)
 		case strings.EqualFold(name, names.LastEventID):
@@ -100,6 +104,29 @@
 	return r
 }
 
+// addWhole adds the request as a whole to its candidates: an engine may crash on a request whose parts are sound. Callers that send it
+// again do so under a new ID and key, so that both are left out.
+func (r *request) addWhole(names *forwarder.HeaderNames) {
+	digest := sha256.New()
+	write := func(text string) {
+		// Writing to a hash cannot fail.
+		_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(text))))
+		_, _ = digest.Write([]byte(text))
+	}
+	write(r.match.Route.Name)
+	write(string(r.match.Customer))
+	for _, f := range r.header {
+		if strings.EqualFold(f.Name, names.Parts) || strings.EqualFold(f.Name, names.Tokens) {
+			write(f.Value)
+		}
+	}
+	_, _ = digest.Write(r.body)
+	r.candidates = append(r.candidates, isolator.Whole(hex.EncodeToString(digest.Sum(nil)[:wholeBytes])))
+}
+
+// wholeBytes is the length of the digest of a request.
+const wholeBytes = 8
+
 // setBySystem reports whether only the system sets a header; a caller's value is dropped.
 func (s *Server) setBySystem(name string) bool {
 	n := &s.options.Names
--- a/internal/receiver/stream.go
+++ b/internal/receiver/stream.go
@@ -22,6 +22,7 @@
 // stream serves a request to model engines; a broken stream is resumed at another engine after the last event sent.
 func (s *Server) stream(ctx context.Context, r *request, w *writer) *refusal {
 	t := s.newTransfer(r, w)
+	r.addWhole(&s.options.Names)
 	var excluded []namer.Target
 	var successor *assignment
 	previous := verdictAnswer
@@ -173,7 +174,7 @@
 		Exclude:       append(t.server.abstaining(r), excluded...),
 		Retried:       retried,
 		Resubmitted:   r.isRetry(),
-	}, r.parts)
+	}, r.candidates)
 	return id, decision, err
 }
 
@@ -421,7 +422,7 @@
 		helpers = append(helpers, string(h.Engine))
 	}
 	s.options.Log.Info().Str("request", string(r.id)).Str("target", string(p.Engine)).Strs("helpers", helpers).
-		Strs("parts", namer.PartNames(r.parts)).
+		Strs("parts", namer.PartNames(r.candidates)).
 		Int("prompt", r.promptTokens).Int("output", r.outputTokens).Dur("waited", p.Waited).Dur("backlog", p.Backlog).
 		Dur("predicted", p.FirstEvent).Int64("rules", r.view.Rules.Rules.Version).Msg("receiver: placed")
 }
--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -1,3 +1,3 @@
-// Package isolator finds the prompt parts that crash engines, and keeps requests with them away from engines. It has no clock; callers
+// Package isolator finds the requests and prompt parts that crash engines, and keeps them away from engines. It has no clock; callers
 // pass the current time.
 package isolator
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -53,13 +54,25 @@
 	}
 }
 
+// wholePrefix marks requests as a whole; the parts that callers name have no colon.
+const wholePrefix = "request:"
+
+// Whole returns the candidate for a request as a whole, by a digest of what it asks for.
+func Whole(digest string) namer.Part {
+	return namer.Part(wholePrefix + digest)
+}
+
+func isWhole(p namer.Part) bool {
+	return strings.HasPrefix(string(p), wholePrefix)
+}
+
 // Crash reports a request whose answer an engine was about to begin, or had begun, when it crashed.
 type Crash struct {
 	Engine namer.Target
 	// Started distinguishes the runs of an engine under the same ID.
 	Started time.Time
 	Request namer.Request
-	// Parts are the shared parts of the request's prompt, in order.
+	// Parts are the shared parts of the request's prompt, in order, and the request as a whole.
 	Parts []namer.Part
 	// Late is set if the answer had begun before the pass in which the engine crashed.
 	Late bool
@@ -303,14 +316,18 @@
 func (i *Isolator) Sound(now time.Time, parts []namer.Part) []namer.Part {
 	var ended []namer.Part
 	for _, p := range parts {
-		i.remember(now, p)
 		for _, k := range i.crashes {
 			delete(k.suspects, p)
 		}
-		if _, found := i.isolated[p]; found {
+		_, found := i.isolated[p]
+		if found {
 			delete(i.isolated, p)
 			ended = append(ended, p)
 		}
+		// Most requests come once, and would push the parts out of the memory.
+		if found || !isWhole(p) {
+			i.remember(now, p)
+		}
 	}
 	return ended
 }
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -130,6 +130,33 @@
 				i.Decide(at(200*n + settled))
 			}
 		}, want: []namer.Part{"deadly"}},
+		{name: "one request under new IDs, its parts sound", play: func(i *Isolator) {
+			for n := range 4 {
+				crashes(i, 200*n, 200, 1, "first", "popular", Whole("deadly"))
+				i.Sound(at(200*n+100), []namer.Part{"first", "popular", Whole(fmt.Sprint(n))})
+			}
+			crashes(i, 1000, 200, 4, "first", "popular", Whole("deadly"))
+		}, want: []namer.Part{Whole("deadly")}},
+		{name: "one request under new IDs, nothing known of its parts", play: func(i *Isolator) {
+			crashes(i, 0, 200, 8, "first", "popular", Whole("deadly"))
+		}, want: []namer.Part{Whole("deadly")}},
+		{name: "a part in many requests", play: func(i *Isolator) {
+			for n := range 5 {
+				crashes(i, 200*n, 200, 1, "deadly", Whole(fmt.Sprint(n)))
+			}
+		}, want: []namer.Part{"deadly"}},
+		{name: "a request and a part of others", play: func(i *Isolator) {
+			i.Sound(at(0), []namer.Part{"first", "popular"})
+			for n := range 5 {
+				crashes(i, 100+400*n, 200, 1, "first", "popular", Whole("fatal"))
+				crashes(i, 300+400*n, 200, 1, "first", "deadly", Whole(fmt.Sprint(n)))
+			}
+		}, want: []namer.Part{"deadly", Whole("fatal")}},
+		{name: "a request that was answered between its crashes", play: func(i *Isolator) {
+			crashes(i, 0, 200, 3, "popular", Whole("sound"))
+			i.Sound(at(700), []namer.Part{"popular", Whole("sound")})
+			crashes(i, 800, 200, 3, "popular", Whole("sound"))
+		}},
 		{name: "requests without shared parts", play: func(i *Isolator) {
 			crashes(i, 0, 200, 8)
 		}},
@@ -182,6 +209,13 @@
 	for n := range 3 * s.MaxSound {
 		i.Sound(at(0), []namer.Part{namer.Part(fmt.Sprint("part-", n))})
 	}
+	last := namer.Part(fmt.Sprint("part-", 3*s.MaxSound-1))
+	for n := range 3 * s.MaxSound {
+		i.Sound(at(0), []namer.Part{Whole(fmt.Sprint(n))})
+	}
+	if i.lastSound(last).IsZero() {
+		t.Error("answered requests have pushed an answered part out of the memory")
+	}
 	for n := range 2 * s.MaxIsolated {
 		i.Add(Isolation{Part: namer.Part(fmt.Sprint("isolated-", n)), Until: at(n), Hold: s.Hold})
 	}
