Take objects for removed only if their kind has been listed

Followers took what it lacked for removed, at the object's own version, and refused the object when it did come.

Only what it lacks up to that version is removed; known removals are events of their own.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -164,6 +164,8 @@
 	lostKinds map[storer.Kind]bool
 	// answeredKinds holds the kinds for which the store has answered since watching began.
 	answeredKinds map[storer.Kind]bool
+	// completeUpTo holds, for the kinds that this instance has listed, the version of the store up to which it knows all objects.
+	completeUpTo map[storer.Kind]int64
 	// failures counts consecutive failed calls by kind of object.
 	failures     map[storer.Kind]int
 	leaving      bool
@@ -198,6 +200,7 @@
 		lostKinds:       map[storer.Kind]bool{},
 		failures:        map[storer.Kind]int{},
 		answeredKinds:   map[storer.Kind]bool{},
+		completeUpTo:    map[storer.Kind]int64{},
 	}
 	rank, seedPeers := initialRank(o)
 	c.convener = convener.New(o.Convener, c.self(), rank, seedPeers)
@@ -328,7 +331,8 @@
 }
 
 func (c *Coordinator) watch(ctx context.Context, kind storer.Kind) {
-	w := storer.NewWatcher(c.options.Store, storer.WatcherSettings{
+	var w *storer.Watcher
+	w = storer.NewWatcher(c.options.Store, storer.WatcherSettings{
 		Kind:    kind,
 		Wait:    c.watchWait,
 		Initial: maps.Clone(c.objects[kind]),
@@ -339,8 +343,9 @@
 		},
 		OnResult: func(err error) {
 			c.send(ctx, watchResult{
-				kind: kind,
-				err:  err,
+				kind:    kind,
+				err:     err,
+				version: w.Read().Version,
 			})
 		},
 	})
@@ -460,6 +465,7 @@
 	if m.err == nil {
 		c.failures[m.kind] = 0
 		c.answeredKinds[m.kind] = true
+		c.recordComplete(m.kind, m.version)
 	}
 	down := c.failures[m.kind] >= lostAfterFailures
 	if m.err != nil && !down {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// recordComplete records the version up to which this instance knows all objects of a kind. Followers get a snapshot again once their
+// leader has listed one more kind, since only then it shows which of their objects are gone.
+func (c *Coordinator) recordComplete(kind storer.Kind, version int64) {
+	if _, listed := c.completeUpTo[kind]; !listed {
+		c.snapshot = nil
+		for l := range c.followers {
+			l.hasSnapshot = false
+		}
+	}
+	c.completeUpTo[kind] = version
+}
+
 // sendSnapshot sends all objects to a follower. The encoded message is cached until the objects change, since many followers
 // join at once.
 func (c *Coordinator) sendSnapshot(l *link) {
@@ -109,8 +121,22 @@
 	}
 }
 
+// encodeSnapshot encodes all known objects and removals; it returns nil if there are none.
 func (c *Coordinator) encodeSnapshot() json.RawMessage {
 	var events []storer.Event
+	for key, version := range c.removed {
+		if _, restored := c.objects[key.kind][key.name]; restored {
+			continue
+		}
+		events = append(events, storer.Event{
+			Type: storer.EventDelete,
+			Object: storer.Object{
+				Kind:    key.kind,
+				Name:    key.name,
+				Version: version,
+			},
+		})
+	}
 	for _, kind := range c.watchedKinds() {
 		for _, o := range c.objects[kind] {
 			events = append(events, storer.Event{
@@ -135,10 +161,14 @@
 	}
 	var message json.RawMessage
 	if err == nil {
-		message, err = json.Marshal(objectsMessage{
+		m := objectsMessage{
 			Whole:  whole,
 			Events: packed.Bytes(),
-		})
+		}
+		if whole {
+			m.Complete = c.completeUpTo
+		}
+		message, err = json.Marshal(m)
 	}
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("coordinator: failed to encode objects")
@@ -157,7 +187,7 @@
 		return err
 	}
 	if m.Whole {
-		events = append(c.missingObjects(events), events...)
+		events = append(c.missingObjects(events, m.Complete), events...)
 	}
 	c.applyingSnapshot = m.Whole
 	changed := 0
@@ -176,20 +206,22 @@
 	return nil
 }
 
-// missingObjects returns deletions of the known objects that a snapshot lacks. It returns none if this instance reads the
-// store itself and so has newer data.
-func (c *Coordinator) missingObjects(events []storer.Event) []storer.Event {
+// missingObjects returns deletions of the known objects that a snapshot lacks though it is complete up to their versions. It returns
+// none if this instance reads the store itself and so has newer data.
+func (c *Coordinator) missingObjects(events []storer.Event, complete map[storer.Kind]int64) []storer.Event {
 	if c.readsStore() {
 		return nil
 	}
 	listed := make(map[objectKey]bool, len(events))
 	for _, e := range events {
-		listed[objectKey{e.Object.Kind, e.Object.Name}] = true
+		if e.Type == storer.EventPut {
+			listed[objectKey{e.Object.Kind, e.Object.Name}] = true
+		}
 	}
 	var gone []storer.Event
 	for _, kind := range c.watchedKinds() {
 		for name, o := range c.objects[kind] {
-			if !listed[objectKey{kind, name}] {
+			if !listed[objectKey{kind, name}] && o.Version <= complete[kind] {
 				gone = append(gone, storer.Event{
 					Type:   storer.EventDelete,
 					Object: o,
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -25,6 +25,8 @@
 type watchResult struct {
 	kind storer.Kind
 	err  error
+	// version is the version up to which the watcher has seen all changes of the kind.
+	version int64
 }
 
 // submitRequest asks for the placement of a request.
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -6,6 +6,7 @@
 	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
+	"bergamothollow.example/bergamothollow/pkg/storer"
 )
 
 // JSON-RPC methods between a follower and its leader.
@@ -60,8 +61,11 @@
 
 // objectsMessage carries objects of the store between a leader and its followers.
 type objectsMessage struct {
-	// Whole is set if the message is a full snapshot: objects that it lacks no longer exist.
+	// Whole is set if the message has all that the sender knows.
 	Whole bool `json:"whole,omitempty"`
+	// Complete holds, for the kinds that the sender has listed, the version of the store up to which the message has all objects. An
+	// object of such a version that it lacks no longer exists; nothing is known of other objects that it lacks.
+	Complete map[storer.Kind]int64 `json:"complete,omitempty"`
 	// Events are gzip-compressed JSON, since rules repeat the same strings in each route.
 	Events []byte `json:"events"`
 }
