--- a/internal/coordinator/feed_test.go
+++ b/internal/coordinator/feed_test.go
@@ -25,16 +25,14 @@
 	}
 }
 
-func (s *modelStore) put(kind storer.Kind, name string) storer.Object {
+func (s *modelStore) put(kind storer.Kind, name string) {
 	s.version++
-	o := storer.Object{
+	s.objects[objectKey{kind, name}] = storer.Object{
 		Kind:    kind,
 		Name:    name,
 		Version: s.version,
 		Value:   json.RawMessage(`{}`),
 	}
-	s.objects[objectKey{kind, name}] = o
-	return o
 }
 
 func (s *modelStore) remove(kind storer.Kind, name string) {
