Bound what serve reads of an answer

Other operators' processes ran out of memory while a faulty engine sent bytes without end. The clients of serve for plain services, streams and orders of engines had no bound: of one such answer up to 1.1 GB were read in 5 s, and a call that was cut off by its time limit counted as answered.

Cause: the HTTP client has no limit for headers, and none for bodies unless it is set; in a stream it reads a body with neither a length nor chunks whole. Only the store's client had bounds.

Change: the dialer that bounds the store's answers has a package of its own and serves all clients. It bounds whole answers as well, which covers what the library reads without a limit.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,19 +12,23 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/phuslu/log"
 
 	"bergamothollow.example/bergamothollow/internal/controller"
 	"bergamothollow.example/bergamothollow/pkg/deduplicator"
+	"bergamothollow.example/bergamothollow/pkg/dialer"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
 )
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout = 500 * time.Millisecond
+	// maxAnswerBytes bounds the header and the body of an answer, each.
+	maxAnswerBytes = 8 << 20
+)
 
 // Control is the part of the control state that a Caller uses.
 type Control interface {
@@ -66,11 +70,10 @@
 
 // New returns a Caller; its settler runs until the context ends.
 func New(ctx context.Context, o Options) (*Caller, error) {
-	c, err := client.NewClient(
+	c, err := client.NewClient(append(dialer.Bounded(maxAnswerBytes),
 		client.WithDialTimeout(dialTimeout),
-		client.WithDialer(standard.NewDialer()),
 		client.WithMaxConnsPerHost(256),
-	)
+	)...)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/emulator/flooder/doc.go
@@ -0,0 +1,2 @@
+// Package flooder emulates a server that sends bytes without end.
+package flooder
--- a/internal/streamer/client.go
+++ b/internal/streamer/client.go
@@ -13,17 +13,21 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"bergamothollow.example/bergamothollow/internal/follower"
+	"bergamothollow.example/bergamothollow/pkg/dialer"
 )
 
 const (
 	dialTimeout = 500 * time.Millisecond
 	// callTimeout limits calls without a stream: lists, load reports, cache events, cancels and orders.
 	callTimeout = time.Second
+	// maxAnswerBytes bounds the header of an answer, and the body of one that isn't a stream. Lists of requests have the most.
+	maxAnswerBytes = 8 << 20
+	// maxStreamBytes bounds a stream: 160,000 events of 100 bytes.
+	maxStreamBytes = 16 << 20
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 64 << 10
 	// doneData is the data of a stream's last event.
@@ -38,24 +42,21 @@
 
 // New returns a client that opens at most the given number of connections to each engine for streams, and as many for calls.
 func New(connections int) (*Client, error) {
-	// The standard dialer is used because closing its connections unblocks a read in progress.
-	streams, err := client.NewClient(
+	streams, err := client.NewClient(append(dialer.BoundedStream(maxAnswerBytes, maxStreamBytes),
 		client.WithDialTimeout(dialTimeout),
-		client.WithDialer(standard.NewDialer()),
 		client.WithMaxConnsPerHost(connections),
 		client.WithResponseBodyStream(true),
-	)
+	)...)
 	if err != nil {
 		return nil, err
 	}
 	// Each call has a connection of its own: on a reused one, a second copy of an earlier answer would be taken for the answer to the
 	// call. The tokens of streams name their request.
-	calls, err := client.NewClient(
+	calls, err := client.NewClient(append(dialer.Bounded(maxAnswerBytes),
 		client.WithDialTimeout(dialTimeout),
-		client.WithDialer(standard.NewDialer()),
 		client.WithMaxConnsPerHost(connections),
 		client.WithKeepAlive(false),
-	)
+	)...)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -1,21 +1,54 @@
-package storer
+package dialer
 
 import (
 	"crypto/tls"
-	"errors"
+	"fmt"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
-// maxResponseBytes bounds the header and the body of a response, each; the store's lists have about 1 MB.
-const maxResponseBytes = 16 << 20
+// TooLongError means that an answer, or its header, is longer than the limit, in bytes.
+type TooLongError struct {
+	Limit int
+}
+
+// Error returns the message with the limit.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("the answer is longer than %d bytes", e.Limit)
+}
 
-var errResponseTooLong = errors.New("the response is longer than 16 MiB")
+// Bounded returns the options of a client that reads at most limit bytes of the header of an answer, and as many of its body.
+func Bounded(limit int) []config.ClientOption {
+	return append(BoundedStream(limit, 2*limit), config.ClientOption{
+		F: func(o *config.ClientOptions) {
+			o.MaxResponseBodySize = limit
+		},
+	})
+}
+
+// BoundedStream returns the options of a client that reads at most headerLimit bytes of the header of an answer, and at most limit bytes of
+// the whole answer. The library has no limit for headers, and reads bodies without a length whole, also those that are read as a stream.
+func BoundedStream(headerLimit, limit int) []config.ClientOption {
+	return []config.ClientOption{
+		// Closing a connection of the standard dialer unblocks a read in progress. The default dialer sometimes loses a response if
+		// the server closes the connection right after it.
+		client.WithDialer(boundedDialer{
+			Dialer:      standard.NewDialer(),
+			headerLimit: headerLimit,
+			limit:       limit,
+		}),
+	}
+}
 
-// boundedDialer opens connections on which the header of a response is bounded: the HTTP client has no limit for it.
+// boundedDialer opens connections on which answers are bounded.
 type boundedDialer struct {
 	network.Dialer
+	headerLimit int
+	limit       int
 }
 
 // DialConnection opens a connection.
@@ -24,20 +57,81 @@
 	if err != nil {
 		return nil, err
 	}
-	return boundedConn{
-		Conn: conn,
+	return &boundedConn{
+		Conn:        conn,
+		headerLimit: d.headerLimit,
+		limit:       d.limit,
 	}, nil
 }
 
+// boundedConn counts the bytes that were read since the latest request was sent.
 type boundedConn struct {
 	network.Conn
+	headerLimit int
+	limit       int
+	read        int
 }
 
-// Peek returns the next n bytes without consuming them; it fails with errResponseTooLong rather than read more than maxResponseBytes
-// ahead.
-func (c boundedConn) Peek(n int) ([]byte, error) {
-	if n > maxResponseBytes && n > c.Len() {
-		return nil, errResponseTooLong
+// Flush sends what was written: a request, whose answer is counted anew.
+func (c *boundedConn) Flush() error {
+	c.read = 0
+	return c.Conn.Flush()
+}
+
+// Peek returns the next n bytes without consuming them; it fails with a TooLongError rather than read more than the limit of the header
+// ahead, and beyond the limit: the library ignores the error of Skip.
+func (c *boundedConn) Peek(n int) ([]byte, error) {
+	if err := c.count(0); err != nil {
+		return nil, err
+	}
+	if n > c.headerLimit && n > c.Len() {
+		return nil, &TooLongError{
+			Limit: c.headerLimit,
+		}
 	}
 	return c.Conn.Peek(n)
 }
+
+// Read reads into p; it fails with a TooLongError beyond the limit.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if err := c.count(0); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.read += n
+	return n, err
+}
+
+// ReadBinary returns the next n bytes; it fails with a TooLongError beyond the limit.
+func (c *boundedConn) ReadBinary(n int) ([]byte, error) {
+	if err := c.count(n); err != nil {
+		return nil, err
+	}
+	return c.Conn.ReadBinary(n)
+}
+
+// ReadByte returns the next byte; it fails with a TooLongError beyond the limit.
+func (c *boundedConn) ReadByte() (byte, error) {
+	if err := c.count(1); err != nil {
+		return 0, err
+	}
+	return c.Conn.ReadByte()
+}
+
+// Skip consumes n bytes; it fails with a TooLongError beyond the limit.
+func (c *boundedConn) Skip(n int) error {
+	if err := c.count(n); err != nil {
+		return err
+	}
+	return c.Conn.Skip(n)
+}
+
+func (c *boundedConn) count(n int) error {
+	c.read += n
+	if c.read > c.limit {
+		return &TooLongError{
+			Limit: c.limit,
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer bounds what HTTP clients read of an answer.
+package dialer
--- a/pkg/storer/endless_test.go
+++ b/pkg/storer/endless_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
+
+	"bergamothollow.example/bergamothollow/internal/emulator/flooder"
 )
 
 // maxEndlessBytes is what an endless answer may cost: the largest accepted body, doubled by its growing buffer, and the sockets' buffers.
@@ -31,8 +31,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
-			sent := &atomic.Int64{}
-			go serveEndless(listener, test.beginning, test.repeated, sent)
+			sent := flooder.Serve(listener, test.beginning, test.repeated)
 			const timeout = 5 * time.Second
 			transport, err := NewTransport(listener.Addr().String(), timeout)
 			if err != nil {
@@ -67,7 +66,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
-			go serveEndless(listener, beginning, "", &atomic.Int64{})
+			flooder.Serve(listener, beginning, "")
 			transport, err := NewTransport(listener.Addr().String(), 5*time.Second)
 			if err != nil {
 				t.Fatal(err)
@@ -79,23 +78,3 @@
 		})
 	}
 }
-
-// serveEndless answers each connection with the beginning, and then repeats the bytes until the connection is closed.
-func serveEndless(listener net.Listener, beginning, repeated string, sent *atomic.Int64) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			_, _ = conn.Read(make([]byte, 64<<10))
-			_, err := io.WriteString(conn, beginning)
-			for part := strings.Repeat(repeated, 1024); err == nil && part != ""; {
-				n := 0
-				n, err = io.WriteString(conn, part)
-				sent.Add(int64(n))
-			}
-		}()
-	}
-}
--- a/pkg/storer/transport.go
+++ b/pkg/storer/transport.go
@@ -9,14 +9,17 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"bergamothollow.example/bergamothollow/pkg/dialer"
 )
 
 // dialTimeout bounds the time to connect to the store, which is in the same region.
 const dialTimeout = 500 * time.Millisecond
 
+// maxResponseBytes bounds the header and the body of a response, each; the store's lists have about 1 MB.
+const maxResponseBytes = 16 << 20
+
 // Transport makes HTTP calls to a store and never retries them.
 type Transport struct {
 	base    string
@@ -47,20 +50,11 @@
 
 // NewTransport returns a transport to address (host:port). The timeout applies to each call that sets none.
 func NewTransport(address string, timeout time.Duration) (*Transport, error) {
-	c, err := client.NewClient(
+	c, err := client.NewClient(append(dialer.Bounded(maxResponseBytes),
 		client.WithDialTimeout(dialTimeout),
-		// The default dialer sometimes loses a response if the server closes the connection right after it.
-		client.WithDialer(boundedDialer{
-			Dialer: standard.NewDialer(),
-		}),
 		client.WithMaxConnsPerHost(64),
 		client.WithKeepAlive(false),
-		config.ClientOption{
-			F: func(o *config.ClientOptions) {
-				o.MaxResponseBodySize = maxResponseBytes
-			},
-		},
-	)
+	)...)
 	if err != nil {
 		return nil, err
 	}
