--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -584,7 +584,9 @@
 	putRules(store, 1)
 	putEngine(store, "a")
 	c := startInstance(t, store, 0)
-	eventually(t, 5*time.Second, "rules", func() bool { return c.knows(1, 1) })
+	eventually(t, 5*time.Second, "rules and the engine", func() bool {
+		return c.knows(1, 1) && c.View().Catalogue.Usable("a")
+	})
 	// A message without a link can't be handled.
 	c.messages <- peerMessage{method: methodJoin}
 	place(t, c, "after")
