--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -13,8 +13,9 @@
 // Settings are the tuning parameters of an isolator.
 type Settings struct {
 	// MinCrashes is the number of crashes at which a part counts as their cause, and SoundCrashes that for a part with which answers
-	// have been completed before; a late crash counts half. MinRequests is the number of different requests that must have been involved. TieCrashes is the number at
-	// which the part is chosen by its place in the prompt, if nothing else tells it from another one.
+	// have been completed before; a late crash counts half. MinRequests is the number of different requests that must have been
+	// involved. TieCrashes is the number at which the part is chosen by its place in the prompt, if nothing else tells it from another
+	// one.
 	MinCrashes   int
 	SoundCrashes int
 	MinRequests  int
@@ -57,7 +58,7 @@
 // wholePrefix marks requests as a whole; the parts that callers name have no colon.
 const wholePrefix = "request:"
 
-// Whole returns the candidate for a request as a whole, by a digest of what it asks for.
+// Whole returns the part that stands for a request as a whole, by a digest of what it asks for. It is judged as other parts are.
 func Whole(digest string) namer.Part {
 	return namer.Part(wholePrefix + digest)
 }
@@ -224,8 +225,8 @@
 	sound  bool
 }
 
-// compare orders the likeliest cause first: the part with the greatest weight, then one that was never answered, then one that stands late in
-// prompts, since fewer requests share it.
+// compare orders the likeliest cause first: the part with the greatest weight, then one that was never answered, then one that stands late
+// in prompts, since fewer requests share it.
 func (e evidence) compare(other evidence) int {
 	if e.weight == other.weight && e.sound != other.sound {
 		if e.sound {
@@ -311,8 +312,8 @@
 	return e, len(involved)
 }
 
-// Sound records that an engine has completed an answer to a prompt with the given parts: earlier crashes don't count
-// against them, and they are no longer isolated. It returns the parts whose isolation ends.
+// Sound records that an engine has completed an answer to a prompt with the given parts: earlier crashes don't count against them, and
+// they are no longer isolated. It returns the parts whose isolation ends.
 func (i *Isolator) Sound(now time.Time, parts []namer.Part) []namer.Part {
 	var ended []namer.Part
 	for _, p := range parts {
