Search for late statements at each decision

A late statement was searched for at most every 50 ms and could miss a slot that came free in its last 200 ms in the queue. The bound is meant for prompts beyond one engine's memory, whose search compares all engines for all numbers of parts, and now holds for them only.

TestLateStatementTakesTheNextFreeSlot failed before: nothing was placed 5 ms after a slot came free.

--- a/pkg/scheduler/decide.go
+++ b/pkg/scheduler/decide.go
@@ -141,12 +141,18 @@
 // for as long as its answer can be complete in time; after a refusal its caller would come back to the same engines.
 func (s *Scheduler) maxQueueTime(r *Request) time.Duration {
 	longest := max(s.settings.MinQueueTime, time.Duration(s.settings.MaxQueueShare*float64(r.TargetLatency)))
-	if e := s.anyEngine(r); e != nil && r.plannedMemory() > int(s.settings.MemoryShare*float64(e.Speed.MemoryTokens)) {
+	if e := s.anyEngine(r); e != nil && s.exceedsOneEngine(r) {
 		longest = max(longest, r.Deadline.Sub(r.Arrived)-s.answerTime(r, &e.Speed))
 	}
 	return longest
 }
 
+// exceedsOneEngine reports whether a request needs the memory of several engines.
+func (s *Scheduler) exceedsOneEngine(r *Request) bool {
+	e := s.anyEngine(r)
+	return e != nil && r.plannedMemory() > int(s.settings.MemoryShare*float64(e.Speed.MemoryTokens))
+}
+
 // answerTime returns how long the engines take for a prompt that as many as possible share, and for its answer, on busy engines.
 func (s *Scheduler) answerTime(r *Request, speed *matcher.Engine) time.Duration {
 	prefill := prefillTime(speed, r.PromptTokens, s.settings.MaxParts)
@@ -196,7 +202,7 @@
 				Placement: placement,
 			}
 		}
-		if waited > r.TargetLatency {
+		if waited > r.TargetLatency && s.exceedsOneEngine(r) {
 			r.nextSearch = now.Add(lateSearchInterval)
 		}
 	}
@@ -206,8 +212,8 @@
 	return nil
 }
 
-// lateSearchInterval is the time between two searches for engines for a request that has missed its target latency. Each search for a
-// long prompt compares all engines for all numbers of parts.
+// lateSearchInterval is the time between two searches for engines for a prompt beyond one engine's memory that has missed its target
+// latency. Each search compares all engines for all numbers of parts.
 const lateSearchInterval = 50 * time.Millisecond
 
 const (
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -167,6 +167,28 @@
 	}
 }
 
+// Guards against a late statement that is refused although a slot came free while it waited: it was searched for every 50 ms only.
+func TestLateStatementTakesTheNextFreeSlot(t *testing.T) {
+	s := fullFixture(1, 0)
+	r := statement("late", start)
+	s.Submit(r)
+	late := start.Add(r.TargetLatency + 10*time.Millisecond)
+	if d := s.Decide(late); len(d) != 0 {
+		t.Fatalf("got %+v without a free slot", d)
+	}
+	for id := range s.running {
+		s.Ended(late, id, Finished, "")
+		break
+	}
+	d := s.Decide(late.Add(5 * time.Millisecond))
+	if len(d) != 1 {
+		t.Fatalf("got %+v after a slot came free", d)
+	}
+	if _, placed := d[0].(Place); !placed {
+		t.Errorf("got %+v after a slot came free", d[0])
+	}
+}
+
 // Guards against a backoff of many seconds because all requests on an engine failed at the same moment: an engine that was
 // down for 2 s was excluded for 8 s while the others had no capacity (scenario cold_return).
 func TestConcurrentFailuresCountOnce(t *testing.T) {
