Share the answers without an end between the tests of three clients

The same table stood in the tests of pkg/storer, internal/caller and internal/streamer. Each client now gets all of its cases: a long length is new for two of them.

--- a/internal/caller/endless_test.go
+++ b/internal/caller/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,20 +17,14 @@
 
 // Guards against a process that runs out of memory while a service sends bytes without end (operators' report).
 func TestEndlessAnswer(t *testing.T) {
-	for name, answer := range map[string]struct{ beginning, repeated string }{
-		"header line":         {"HTTP/1.1 200 OK\r\nLong: ", "x"},
-		"header lines":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
-		"no protocol":         {"", "no answer "},
-		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
-		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
-	} {
+	for name, answer := range flooder.Answers() {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
-			sent := flooder.Serve(listener, answer.beginning, answer.repeated)
+			sent := flooder.Serve(listener, answer)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			c, err := New(ctx, Options{
--- a/internal/streamer/endless_test.go
+++ b/internal/streamer/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -14,21 +13,24 @@
 // which is all that answers may hold together.
 const maxEndlessBytes = 184 << 20 / 3
 
-// endlessAnswers are beginnings of answers and the bytes that follow without end.
-var endlessAnswers = map[string]struct{ beginning, repeated string }{
-	"header line":         {"HTTP/1.1 200 OK\r\nLong: ", "x"},
-	"header lines":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
-	"no protocol":         {"", "no answer "},
-	"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
-	"refusal":             {"HTTP/1.1 503 Service Unavailable\r\n\r\n", "x"},
-	"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
-	"event":               {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "x"},
+// endlessAnswers returns the answers without an end that an engine may send.
+func endlessAnswers() map[string]flooder.Answer {
+	answers := flooder.Answers()
+	answers["refusal"] = flooder.Answer{
+		Beginning: "HTTP/1.1 503 Service Unavailable\r\n\r\n",
+		Repeated:  "x",
+	}
+	answers["event"] = flooder.Answer{
+		Beginning: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+		Repeated:  "x",
+	}
+	return answers
 }
 
 // Guards against a process that runs out of memory while an engine sends bytes without end, in answer to an order or in a stream
 // (operators' report).
 func TestEndlessAnswer(t *testing.T) {
-	for name, answer := range endlessAnswers {
+	for name, answer := range endlessAnswers() {
 		for kind, ask := range map[string]func(ctx context.Context, c *Client, address string) error{
 			"order": func(ctx context.Context, c *Client, address string) error {
 				_, err := c.Requests(ctx, address)
@@ -44,7 +46,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(func() { _ = listener.Close() })
-				sent := flooder.Serve(listener, answer.beginning, answer.repeated)
+				sent := flooder.Serve(listener, answer)
 				const timeout = 5 * time.Second
 				ctx, cancel := context.WithTimeout(context.Background(), timeout)
 				defer cancel()
--- a/pkg/storer/endless_test.go
+++ b/pkg/storer/endless_test.go
@@ -17,21 +17,14 @@
 
 // Guards against memory that grows without bound while the store, or something that answers in its place, sends bytes without end.
 func TestEndlessAnswer(t *testing.T) {
-	for name, test := range map[string]struct{ beginning, repeated string }{
-		"header line":         {"HTTP/1.1 200 OK\r\nLong: ", "x"},
-		"header lines":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
-		"no protocol":         {"", "no answer "},
-		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
-		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
-		"long length":         {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
-	} {
+	for name, answer := range flooder.Answers() {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
-			sent := flooder.Serve(listener, test.beginning, test.repeated)
+			sent := flooder.Serve(listener, answer)
 			const timeout = 5 * time.Second
 			transport, err := NewTransport(listener.Addr().String(), timeout)
 			if err != nil {
@@ -66,7 +59,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
-			flooder.Serve(listener, beginning, "")
+			flooder.Serve(listener, flooder.Answer{Beginning: beginning})
 			transport, err := NewTransport(listener.Addr().String(), 5*time.Second)
 			if err != nil {
 				t.Fatal(err)
