Bound the header of answers by 64 KiB

Change: until a header is complete, and nothing is consumed, a connection reads 64 KiB ahead at most. Bodies keep their bounds.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -26,7 +26,7 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// maxAnswerBytes bounds the header and the body of an answer, each.
+	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 8 << 20
 )
 
--- a/internal/streamer/client.go
+++ b/internal/streamer/client.go
@@ -24,7 +24,7 @@
 	dialTimeout = 500 * time.Millisecond
 	// callTimeout limits calls without a stream: lists, load reports, cache events, cancels and orders.
 	callTimeout = time.Second
-	// maxAnswerBytes bounds the header of an answer, and the body of one that isn't a stream. Lists of requests have the most.
+	// maxAnswerBytes bounds the body of an answer that isn't a stream. Lists of requests have the most.
 	maxAnswerBytes = 8 << 20
 	// maxStreamBytes bounds a stream: 160,000 events of 100 bytes.
 	maxStreamBytes = 16 << 20
@@ -42,7 +42,7 @@
 
 // New returns a client that opens at most the given number of connections to each engine for streams, and as many for calls.
 func New(connections int) (*Client, error) {
-	streams, err := client.NewClient(append(dialer.BoundedStream(maxAnswerBytes, maxStreamBytes),
+	streams, err := client.NewClient(append(dialer.BoundedStream(maxStreamBytes),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(connections),
 		client.WithResponseBodyStream(true),
--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -21,25 +21,28 @@
 	return fmt.Sprintf("the answer is longer than %d bytes", e.Limit)
 }
 
-// Bounded returns the options of a client that reads at most limit bytes of the header of an answer, and as many of its body.
+// maxHeaderBytes bounds the header of an answer. The library parses a header from its beginning each time that more of it has arrived, so
+// that a long one takes seconds of processor time.
+const maxHeaderBytes = 64 << 10
+
+// Bounded returns the options of a client that reads at most limit bytes of the body of an answer, and 64 KiB of its header.
 func Bounded(limit int) []config.ClientOption {
-	return append(BoundedStream(limit, 2*limit), config.ClientOption{
+	return append(BoundedStream(maxHeaderBytes+2*limit), config.ClientOption{
 		F: func(o *config.ClientOptions) {
 			o.MaxResponseBodySize = limit
 		},
 	})
 }
 
-// BoundedStream returns the options of a client that reads at most headerLimit bytes of the header of an answer, and at most limit bytes of
-// the whole answer. The library has no limit for headers, and reads bodies without a length whole, also those that are read as a stream.
-func BoundedStream(headerLimit, limit int) []config.ClientOption {
+// BoundedStream returns the options of a client that reads at most limit bytes of an answer, and 64 KiB of its header. The library has no
+// limit for headers, and reads bodies without a length whole, also those that are read as a stream.
+func BoundedStream(limit int) []config.ClientOption {
 	return []config.ClientOption{
 		// Closing a connection of the standard dialer unblocks a read in progress. The default dialer sometimes loses a response if
 		// the server closes the connection right after it.
 		client.WithDialer(boundedDialer{
-			Dialer:      standard.NewDialer(),
-			headerLimit: headerLimit,
-			limit:       limit,
+			Dialer: standard.NewDialer(),
+			limit:  limit,
 		}),
 	}
 }
@@ -47,8 +50,7 @@
 // boundedDialer opens connections on which answers are bounded.
 type boundedDialer struct {
 	network.Dialer
-	headerLimit int
-	limit       int
+	limit int
 }
 
 // DialConnection opens a connection.
@@ -58,18 +60,16 @@
 		return nil, err
 	}
 	return &boundedConn{
-		Conn:        conn,
-		headerLimit: d.headerLimit,
-		limit:       d.limit,
+		Conn:  conn,
+		limit: d.limit,
 	}, nil
 }
 
 // boundedConn counts the bytes that were read since the latest request was sent.
 type boundedConn struct {
 	network.Conn
-	headerLimit int
-	limit       int
-	read        int
+	limit int
+	read  int
 }
 
 // Flush sends what was written: a request, whose answer is counted anew.
@@ -78,15 +78,19 @@
 	return c.Conn.Flush()
 }
 
-// Peek returns the next n bytes without consuming them; it fails with a TooLongError rather than read more than the limit of the header
-// ahead, and beyond the limit: the library ignores the error of Skip.
+// Peek returns the next n bytes without consuming them. It fails with a TooLongError beyond the limit, since the library ignores the error
+// of Skip, and rather than read more ahead than a header may have: nothing is consumed before a header is complete.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
 	if err := c.count(0); err != nil {
 		return nil, err
 	}
-	if n > c.headerLimit && n > c.Len() {
+	ahead := c.limit
+	if c.read == 0 {
+		ahead = maxHeaderBytes
+	}
+	if n > ahead && n > c.Len() {
 		return nil, &TooLongError{
-			Limit: c.headerLimit,
+			Limit: ahead,
 		}
 	}
 	return c.Conn.Peek(n)
--- a/pkg/storer/transport.go
+++ b/pkg/storer/transport.go
@@ -17,7 +17,7 @@
 // dialTimeout bounds the time to connect to the store, which is in the same region.
 const dialTimeout = 500 * time.Millisecond
 
-// maxResponseBytes bounds the header and the body of a response, each; the store's lists have about 1 MB.
+// maxResponseBytes bounds the body of a response; the store's lists have about 1 MB.
 const maxResponseBytes = 16 << 20
 
 // Transport makes HTTP calls to a store and never retries them.
