Show that prompts with a number beyond 64 bits can hang a gateway

The number overflows in the scheduler's model of an engine, and the control goroutine plays passes of 292 years.

--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -24,6 +24,8 @@
 	remaining int
 	// chunk is the size of the chunks in which the body is sent; 0 means that it is sent with a length.
 	chunk int
+	// tokens are the numbers that a prompt states; it is empty for calls.
+	tokens string
 	// piece is the largest part of the request that is written at once, with a pause after it; 0 means the whole request.
 	piece int
 	pause time.Duration
@@ -42,6 +44,9 @@
 	var t strings.Builder
 	fmt.Fprintf(&t, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.path, host, names["key"], key,
 		names["request_id"], r.id, names["remaining"], r.remaining)
+	if r.tokens != "" {
+		fmt.Fprintf(&t, "%s: %s\r\n%s: aa:40,%s:4920\r\n", names["tokens"], r.tokens, names["parts"], r.id)
+	}
 	if r.chunk > 0 {
 		t.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 		for rest := r.body; rest != ""; {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -114,6 +114,7 @@
 
 var cases = map[string]func(trouble bool) int{
 	"bodies": bodies,
+	"tokens": tokens,
 }
 
 func main() {
