Report answers whose target resets the connection during an upload as cut off

Callers saw a 200 with 1,080 bytes, ended as whole, after a target had answered a long upload at once without a length, sent part of the body and reset the connection.

Cause: the kernel reports a reset once, to the goroutine that calls it first. If that is the one that writes the request, its error was dropped, and the one that reads the answer got an ordinary end, which completes a body without a length.

Change: the end of such a body waits for the outcome of writing the request, and is an IncompleteError if writing failed. So the order of the goroutines no longer matters. An error status that ends in order stays whole, since a target may fail a request without reading it; a success that does isn't, since a target that ends with an empty buffer closes its connection the same way.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,8 +53,6 @@
 	Body io.Reader
 	conn net.Conn
 	stop func() bool
-	// written receives the outcome of writing the request.
-	written chan error
 }
 
 // SendError means that the target sent no valid response header.
@@ -95,9 +93,9 @@
 		}
 	}
 	a := &Answer{
-		conn:    conn,
-		written: make(chan error, 1),
+		conn: conn,
 	}
+	written := make(chan error, 1)
 	a.stop = context.AfterFunc(ctx, func() {
 		_ = conn.Close()
 	})
@@ -106,7 +104,7 @@
 	go func() {
 		buffers := net.Buffers{head, o.Body}
 		_, err := buffers.WriteTo(conn)
-		a.written <- err
+		written <- err
 	}()
 	limited := &headReader{
 		reader: conn,
@@ -126,6 +124,14 @@
 	a.Header = response.Header
 	a.Early = early
 	a.Body = response.Body
+	if delimited(response) {
+		a.Body = &delimitedBody{
+			body:    response.Body,
+			conn:    conn,
+			success: response.StatusCode < http.StatusMultipleChoices,
+			written: written,
+		}
+	}
 	return a, nil
 }
 
