Fail on answers without a length that are reset or stay silent

The same symptom at each place that calls through the HTTP library: a service whose answer without a length was reset, or went silent until the deadline, had its part passed on as the outcome of the call, and stored for repeats. The store's answers, orders to engines and their reports were taken the same way.

Cause: the library ends a body that ends with its connection at any error, also a reset or a time-out, and returns none.

Evidence: nine of the subtests that break off in pkg/dialer, and those of the store, the callers of services and the client of engines, failed before: status 200 with body "{}", or a load report, order or call counted as answered.

Change: the client's connection parses the head when it has arrived, so that it knows whether the body ends with the connection. If reading such a body fails, the error is returned where the library passes it on. All of them pass now; answers that end in order are read as before.

--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -65,22 +67,44 @@
 	}, nil
 }
 
-// boundedConn counts the bytes that were read since the latest request was sent.
+// boundedConn reads the answer to one request at a time.
 type boundedConn struct {
 	network.Conn
 	limit int
-	read  int
+	// read counts the bytes that were read since the latest request was sent.
+	read int
+	// head is the state of the answer's head.
+	head head
+	// broken is the error with which a body without a length was cut off.
+	broken error
 }
 
 // Flush sends what was written: a request, whose answer is counted anew.
 func (c *boundedConn) Flush() error {
-	c.read = 0
+	c.read, c.head, c.broken = 0, head{}, nil
 	return c.Conn.Flush()
 }
 
 // Peek returns the next n bytes without consuming them. It fails with a TooLongError beyond the limit, since the library ignores the error
 // of Skip, and rather than read more ahead than a header may have: nothing is consumed before a header is complete.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
+	p, err := c.peek(n)
+	if headErr := c.checkHead(); headErr != nil {
+		return nil, headErr
+	}
+	if n == 1 && c.Len() == 0 && c.head.delimited() && err != nil && !errors.Is(err, io.EOF) {
+		// The library takes any error here for the end of the body. It then asks for the bytes that have arrived, none, and returns the
+		// error of that.
+		c.broken = err
+		return nil, nil
+	}
+	return p, err
+}
+
+func (c *boundedConn) peek(n int) ([]byte, error) {
+	if c.broken != nil {
+		return nil, c.broken
+	}
 	if err := c.count(0); err != nil {
 		return nil, err
 	}
@@ -96,6 +120,18 @@
 	return c.Conn.Peek(n)
 }
 
+// checkHead parses the head of the answer once all of it has arrived, before the library does.
+func (c *boundedConn) checkHead() error {
+	if c.head.status != 0 || c.Len() == 0 {
+		return nil
+	}
+	arrived, err := c.Conn.Peek(c.Len())
+	if err != nil {
+		return err
+	}
+	return c.head.parse(arrived)
+}
+
 // Read reads into p; it fails with a TooLongError beyond the limit.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	if err := c.count(0); err != nil {
@@ -122,8 +158,9 @@
 	return c.Conn.ReadByte()
 }
 
-// Skip consumes n bytes; it fails with a TooLongError beyond the limit.
+// Skip consumes n bytes; it fails with a TooLongError beyond the limit. The library consumes a head as a whole.
 func (c *boundedConn) Skip(n int) error {
+	c.head.consume()
 	if err := c.count(n); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/dialer/head.go
@@ -0,0 +1,52 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+)
+
+// head is the head of an answer; the library reads one informational head before the final one at most.
+type head struct {
+	// status is 0 until the whole head has arrived.
+	status int
+	// unframed is set if the body after it ends with its connection.
+	unframed bool
+	// consumed is set once the library has read the final head.
+	consumed bool
+	// continued is set after an informational head.
+	continued bool
+}
+
+// parse parses the head if all of it has arrived; it fails if the head is malformed.
+func (h *head) parse(arrived []byte) error {
+	if !bytes.Contains(arrived, []byte("\n\r\n")) && !bytes.Contains(arrived, []byte("\n\n")) {
+		return nil
+	}
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(arrived)), nil) //nolint:bodyclose // only the head is read
+	if err != nil {
+		return err
+	}
+	h.status = response.StatusCode
+	h.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return nil
+}
+
+// consume records that the library has read the head.
+func (h *head) consume() {
+	if h.consumed || h.status == 0 {
+		return
+	}
+	if h.status == http.StatusContinue && !h.continued {
+		*h = head{
+			continued: true,
+		}
+		return
+	}
+	h.consumed = true
+}
+
+// delimited reports whether a body is read that ends with its connection.
+func (h *head) delimited() bool {
+	return h.consumed && h.unframed
+}
