Reject answers whose status is none of HTTP

Callers got the body of an answer with status 000 as the answer, on each kind of route and in streams, where it parsed as one; 101 and 600 and above were passed on. Through the HTTP library, 000 counted as 200: calls of services, writes to the store, orders to engines and their reports.

Cause: all below 200 was taken for an informational answer, and what follows it for the final one; 101, which no request asks for, for a final one. The library reads an unset status, 0, as 200, and any informational answer but the first 100 as final.

Change: pkg/headreader reads each head, for the forwarder and for the connections of the library, and refuses a status outside 100 to 599, and 101. Nothing after such a head is read, so its body can't become an answer.

--- a/internal/emulator/breaker/breaker.go
+++ b/internal/emulator/breaker/breaker.go
@@ -27,8 +27,14 @@
 	End  End
 }
 
-// head begins the head of a success that an instance would pass on.
-const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+const (
+	// fields are the fields of an answer's head.
+	fields = "Content-Type: application/json\r\n"
+	// head begins the head of a success that an instance would pass on.
+	head = "HTTP/1.1 200 OK\r\n" + fields
+	// rest completes an answer after its status.
+	rest = "\r\n" + fields + "Content-Length: 2\r\n\r\n{}"
+)
 
 // Answers returns broken answers by what is wrong with them. Their body would be a valid one if it were taken for whole.
 func Answers() map[string]Answer {
@@ -41,6 +47,33 @@
 			Text: head + "\r\n{}",
 			End:  Silent,
 		},
+		"status 000": {
+			Text: "HTTP/1.1 000 Trouble" + rest,
+		},
+		"status 000 before a success": {
+			Text: "HTTP/1.1 000 Trouble\r\n\r\n" + head + "Content-Length: 2\r\n\r\n{}",
+		},
+		"status 099": {
+			Text: "HTTP/1.1 099 Trouble" + rest,
+		},
+		"status +20": {
+			Text: "HTTP/1.1 +20 Trouble" + rest,
+		},
+		"status 101": {
+			Text: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other" + rest,
+		},
+		"status 600": {
+			Text: "HTTP/1.1 600 Trouble" + rest,
+		},
+		"status 999": {
+			Text: "HTTP/1.1 999 Trouble" + rest,
+		},
+		"status 103 and no other": {
+			Text: "HTTP/1.1 103 Early Hints\r\n\r\n",
+		},
+		"status 000 after an informational answer": {
+			Text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble" + rest,
+		},
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/headreader"
 )
 
 const (
@@ -183,15 +185,12 @@
 
 // readResponse reads the header of the final response, and those of the informational ones before it as one.
 func readResponse(reader *bufio.Reader, method string) (response *http.Response, early http.Header, err error) {
-	request := &http.Request{
-		Method: method,
-	}
 	for range maxInformational {
-		response, err := http.ReadResponse(reader, request)
+		response, err := headreader.Read(reader, method)
 		if err != nil {
 			return nil, nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, early, nil
 		}
 		if early == nil {
--- /dev/null
+++ b/internal/receiver/broken_test.go
@@ -0,0 +1,74 @@
+package receiver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"bergamothollow.example/bergamothollow/pkg/namer"
+)
+
+// brokenHead returns a handler that answers with the status line and the field lines, beside those of a valid answer.
+func brokenHead(statusLine, fieldLines, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(buffer, "%s\r\n%s: %s\r\n%s: receipt\r\n%s\r\n%s",
+			statusLine, names.RequestID, r.Header.Get(names.RequestID), names.Receipt, fieldLines, body)
+		_ = buffer.Flush()
+		_ = conn.Close()
+	}
+}
+
+// assertNoAnswer checks that answers of the targets of a service reach no caller, on each of its routes.
+func assertNoAnswer(t *testing.T, target func(contentType, body string) http.HandlerFunc) {
+	t.Helper()
+	for _, c := range []struct {
+		service     namer.Service
+		path        string
+		contentType string
+		body        string
+	}{
+		{service: servicePlain, path: "/pay/x", contentType: "text/plain", body: "paid"},
+		{service: servicePlain, path: "/look/x", contentType: "text/plain", body: "found"},
+		{service: servicePlain, path: "/notes/x", contentType: "text/event-stream", body: events()},
+		{service: serviceEngine, path: "/stream/x", contentType: "text/event-stream", body: events()},
+		{service: serviceEngine, path: "/lookup/x", contentType: "text/plain", body: "found"},
+	} {
+		t.Run(fmt.Sprint(c.service, c.path), func(t *testing.T) {
+			h := target(c.contentType, c.body)
+			f := newFixture(t, c.service, io.Discard, h, h)
+			got := f.ask(context.Background(), "POST", c.path)
+			assertStatus(t, got, http.StatusBadGateway)
+			if strings.Contains(got.body, c.body) {
+				t.Errorf("got %q", got.body)
+			}
+		})
+	}
+}
+
+// Guards against an answer of a target in trouble whose status is none, and against its body that is read as the answer (operators'
+// report).
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "099 Trouble", "101 Switching Protocols", "600 Trouble"} {
+		t.Run(status, func(t *testing.T) {
+			assertNoAnswer(t, func(contentType, body string) http.HandlerFunc {
+				return brokenHead("HTTP/1.1 "+status, fmt.Sprintf("Content-Type: %s\r\nContent-Length: %d\r\n", contentType, len(body)), body)
+			})
+		})
+		t.Run(status+" before an answer", func(t *testing.T) {
+			assertNoAnswer(t, func(contentType, body string) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					second := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: receipt\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
+						names.Receipt, contentType, len(body), body)
+					brokenHead("HTTP/1.1 "+status, "", second)(w, r)
+				}
+			})
+		})
+	}
+}
--- a/pkg/dialer/head.go
+++ b/pkg/dialer/head.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"net/http"
+
+	"bergamothollow.example/bergamothollow/pkg/headreader"
 )
 
 // head is the head of an answer; the library reads one informational head before the final one at most.
 type head struct {
-	// status is 0 until the whole head has arrived.
+	// status is 0 until the whole head has arrived and is valid.
 	status int
 	// unframed is set if the body after it ends with its connection.
 	unframed bool
@@ -18,15 +20,21 @@
 	continued bool
 }
 
-// parse parses the head if all of it has arrived; it fails if the head is malformed.
+// parse parses the head if all of it has arrived; it fails if the head is malformed or isn't the answer's.
 func (h *head) parse(arrived []byte) error {
 	if !bytes.Contains(arrived, []byte("\n\r\n")) && !bytes.Contains(arrived, []byte("\n\n")) {
 		return nil
 	}
-	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(arrived)), nil) //nolint:bodyclose // only the head is read
+	response, err := headreader.Read(bufio.NewReader(bytes.NewReader(arrived)), http.MethodGet) //nolint:bodyclose // only the head is read
 	if err != nil {
 		return err
 	}
+	if final := response.StatusCode >= http.StatusOK; !final && (h.continued || response.StatusCode != http.StatusContinue) {
+		// The library would take it for the final answer.
+		return &headreader.StatusError{
+			Status: response.StatusCode,
+		}
+	}
 	h.status = response.StatusCode
 	h.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	return nil
@@ -37,7 +45,7 @@
 	if h.consumed || h.status == 0 {
 		return
 	}
-	if h.status == http.StatusContinue && !h.continued {
+	if h.status == http.StatusContinue {
 		*h = head{
 			continued: true,
 		}
