Reject answers with a field whose name is none

Callers got answers of engines in trouble in whose head the name of a field held a blank, with that line passed on. With "Transfer-Encoding : chunked" or "Content-Length : 1" the body had a framing that wasn't the engine's.

Cause: net/http tolerates blanks in names, but doesn't recognise such a field; the library checks no names.

The forwarder already rejected control bytes and empty names; their cases are kept.

Change: pkg/headreader fails with a FieldNameError, for all that read answers. No body is read after such a head.

--- a/internal/emulator/breaker/breaker.go
+++ b/internal/emulator/breaker/breaker.go
@@ -1,6 +1,7 @@
 package breaker
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -38,7 +39,7 @@
 
 // Answers returns broken answers by what is wrong with them. Their body would be a valid one if it were taken for whole.
 func Answers() map[string]Answer {
-	return map[string]Answer{
+	answers := map[string]Answer{
 		"reset without a length": {
 			Text: head + "\r\n{}",
 			End:  Reset,
@@ -75,6 +76,32 @@
 			Text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble" + rest,
 		},
 	}
+	for what, line := range FieldLines() {
+		answers[what] = Answer{
+			Text: head + line + "\r\nContent-Length: 2\r\n\r\n{}",
+		}
+		answers[what+", no length"] = Answer{
+			Text: head + line + "\r\n\r\n{}",
+		}
+	}
+	return answers
+}
+
+// FieldLines returns lines of a head whose field's name is none, by what is wrong with it.
+func FieldLines() map[string]string {
+	lines := map[string]string{
+		"blank in a name":                        "Trouble here: 1",
+		"blank after a name":                     "Trouble : 1",
+		"blank after the name of the framing":    "Transfer-Encoding : chunked",
+		"blank after the name of the length":     "Content-Length : 1",
+		"control byte after that of the framing": "Transfer-Encoding\x01: chunked",
+		"control byte after that of the length":  "Content-Length\x1f: 1",
+		"no name":                                ": 1",
+	}
+	for _, c := range []byte{0, 1, '\t', '\v', '\r', 0x1b, 0x7f} {
+		lines[fmt.Sprintf("control byte %#x in a name", c)] = "Trou" + string(rune(c)) + "ble: 1"
+	}
+	return lines
 }
 
 // Serve sends the answer to each request on the listener.
--- a/internal/receiver/broken_test.go
+++ b/internal/receiver/broken_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"bergamothollow.example/bergamothollow/internal/emulator/breaker"
 	"bergamothollow.example/bergamothollow/pkg/namer"
 )
 
@@ -72,3 +73,21 @@
 		})
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte: the line was passed on, or the body was read
+// with another framing than the target's (operators' report).
+func TestInvalidFieldName(t *testing.T) {
+	for what, line := range breaker.FieldLines() {
+		t.Run(what, func(t *testing.T) {
+			assertNoAnswer(t, func(contentType, body string) http.HandlerFunc {
+				return brokenHead("HTTP/1.1 200 OK", fmt.Sprintf("%s\r\nContent-Type: %s\r\n", line, contentType), body)
+			})
+		})
+		t.Run(what+" of an informational answer", func(t *testing.T) {
+			assertNoAnswer(t, func(contentType, body string) http.HandlerFunc {
+				return brokenHead("HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK",
+					fmt.Sprintf("Content-Type: %s\r\nContent-Length: %d\r\n", contentType, len(body)), body)
+			})
+		})
+	}
+}
--- a/pkg/headreader/reader.go
+++ b/pkg/headreader/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // maxStatus is the highest status of HTTP (RFC 9110, section 15).
@@ -19,8 +20,18 @@
 	return fmt.Sprintf("status %03d is none of an answer", e.Status)
 }
 
+// FieldNameError means that the name of a field in the head of an answer holds a blank.
+type FieldNameError struct {
+	Name string
+}
+
+// Error returns the message with the name.
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("the name of the field %q holds a blank", e.Name)
+}
+
 // Read reads the head of an answer to a request of the given method, informational or final; an empty method means GET. It fails with a
-// StatusError, with the reader's error, and with an error of net/http if the head is malformed.
+// StatusError, a FieldNameError, the reader's error, and an error of net/http if the head is malformed.
 func Read(reader *bufio.Reader, method string) (*http.Response, error) {
 	request := &http.Request{
 		Method: method,
@@ -34,5 +45,13 @@
 			Status: s,
 		}
 	}
+	for name := range response.Header {
+		// net/http rejects all other bytes that aren't a name's. Another recipient may drop the blank, and then frame the body by the field.
+		if strings.Contains(name, " ") {
+			return nil, &FieldNameError{
+				Name: name,
+			}
+		}
+	}
 	return response, nil
 }
--- a/pkg/headreader/reader_test.go
+++ b/pkg/headreader/reader_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"bergamothollow.example/bergamothollow/internal/emulator/breaker"
 )
 
 // Guards against an answer whose status is none that is read as an informational or a final one.
@@ -24,3 +26,15 @@
 		})
 	}
 }
+
+// Guards against a field whose name is none: a recipient that reads it in another way takes another framing.
+func TestFieldName(t *testing.T) {
+	for what, line := range breaker.FieldLines() {
+		t.Run(what, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\nDate: today\r\n" + line + "\r\n\r\n"
+			if _, err := Read(bufio.NewReader(strings.NewReader(head)), "POST"); err == nil { //nolint:bodyclose // there is none
+				t.Error("the head was read")
+			}
+		})
+	}
+}
