Reject answers with a line that begins with a blank

Callers got the line at the end of the value of the field before it, and with " Content-Length: 1" or " Transfer-Encoding: chunked" a body with another framing than the engine's.

Cause: net/http takes such a line for a continuation of the one before, as old senders folded lines, whatever it holds.

Change: pkg/headreader hands the head to net/http line by line, as it arrives, and fails with a FoldedLineError; RFC 9112 leaves a gateway that choice.

--- a/internal/emulator/breaker/breaker.go
+++ b/internal/emulator/breaker/breaker.go
@@ -96,6 +96,10 @@
 		"blank after the name of the length":     "Content-Length : 1",
 		"control byte after that of the framing": "Transfer-Encoding\x01: chunked",
 		"control byte after that of the length":  "Content-Length\x1f: 1",
+		"blank before a name":                    " Trouble: 1",
+		"tab before a name":                      "\tTrouble: 1",
+		"blank before the name of the framing":   " Transfer-Encoding: chunked",
+		"blank before the name of the length":    " Content-Length: 1",
 		"no name":                                ": 1",
 	}
 	for _, c := range []byte{0, 1, '\t', '\v', '\r', 0x1b, 0x7f} {
--- /dev/null
+++ b/pkg/headreader/lines.go
@@ -0,0 +1,65 @@
+package headreader
+
+import (
+	"bufio"
+	"errors"
+	"io"
+)
+
+// FoldedLineError means that a line in the head of an answer begins with a blank. It is either a field's whose name does, or it continues
+// the one before, which a gateway may answer with 502 (RFC 9112, section 5.2).
+type FoldedLineError struct{}
+
+// Error returns the message.
+func (e *FoldedLineError) Error() string {
+	return "a line of the head begins with a blank"
+}
+
+// lineReader hands on a head by its lines, and what follows it as it is. It fails with a FoldedLineError.
+type lineReader struct {
+	reader *bufio.Reader
+	// rest is what has not been handed on of the present line.
+	rest []byte
+	// within is set if the present line goes on after rest.
+	within bool
+	// ended is set after the empty line that ends the head.
+	ended bool
+	// err is the error after rest. It is returned by each further read, since net/http passes over one when it looks for another line.
+	err error
+}
+
+// Read reads from one line of the head, or from what follows it.
+func (l *lineReader) Read(p []byte) (int, error) {
+	if len(l.rest) == 0 {
+		if l.ended {
+			return l.reader.Read(p)
+		}
+		l.next()
+	}
+	if len(l.rest) == 0 {
+		return 0, l.err
+	}
+	n := copy(p, l.rest)
+	l.rest = l.rest[n:]
+	return n, nil
+}
+
+// next reads the next line, or as much of it as the reader's buffer holds.
+func (l *lineReader) next() {
+	if l.err != nil {
+		return
+	}
+	line, err := l.reader.ReadSlice('\n')
+	if !l.within && len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+		l.err = &FoldedLineError{}
+		return
+	}
+	l.ended = !l.within && (string(line) == "\n" || string(line) == "\r\n")
+	l.within = err != nil
+	l.rest = line
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		l.err = err
+	}
+}
+
+var _ io.Reader = (*lineReader)(nil)
--- a/pkg/headreader/reader.go
+++ b/pkg/headreader/reader.go
@@ -31,12 +31,16 @@
 }
 
 // Read reads the head of an answer to a request of the given method, informational or final; an empty method means GET. It fails with a
-// StatusError, a FieldNameError, the reader's error, and an error of net/http if the head is malformed.
+// StatusError, a FieldNameError, a FoldedLineError, the reader's error, and an error of net/http if the head is malformed. After an
+// informational head, the next one can be read from the same reader.
 func Read(reader *bufio.Reader, method string) (*http.Response, error) {
 	request := &http.Request{
 		Method: method,
 	}
-	response, err := http.ReadResponse(reader, request)
+	lines := &lineReader{
+		reader: reader,
+	}
+	response, err := http.ReadResponse(bufio.NewReader(lines), request)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/headreader/reader_test.go
+++ b/pkg/headreader/reader_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -38,3 +39,26 @@
 		})
 	}
 }
+
+// Guards against bytes after a head that are lost or changed, and against lines longer than the reader's buffer that are refused or split.
+func TestReadKeepsWhatFollows(t *testing.T) {
+	long := strings.Repeat("x", 10_000)
+	text := "HTTP/1.1 103 Early Hints\r\nLong: " + long + "\r\n\r\nHTTP/1.1 200 OK\nLong: " + long + " y\n\n \n\n body"
+	for _, size := range []int{16, 4 << 10, 64 << 10} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			reader := bufio.NewReaderSize(strings.NewReader(text), size)
+			early, err := Read(reader, "POST") //nolint:bodyclose // there is none
+			if err != nil || early.Header.Get("Long") != long {
+				t.Fatalf("the informational head: %v", err)
+			}
+			final, err := Read(reader, "POST")
+			if err != nil || final.Header.Get("Long") != long+" y" {
+				t.Fatalf("the final head: %v", err)
+			}
+			defer func() { _ = final.Body.Close() }()
+			if body, err := io.ReadAll(final.Body); err != nil || string(body) != " \n\n body" {
+				t.Errorf("got body %q, %v", body, err)
+			}
+		})
+	}
+}
