--- a/internal/forwarder/delimited.go
+++ b/internal/forwarder/delimited.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -27,11 +26,6 @@
 	return []error{io.ErrUnexpectedEOF, e.Cause}
 }
 
-// delimited reports whether the body of a response ends with its connection.
-func delimited(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
 // delimitedBody reads a body that ends with its connection. The kernel reports a reset once, to whichever of the two goroutines calls it
 // first: if that is the one that writes the request, reading ends like that of a complete answer.
 type delimitedBody struct {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -126,7 +126,7 @@
 	a.Header = response.Header
 	a.Early = early
 	a.Body = response.Body
-	if delimited(response) {
+	if headreader.Delimited(response) {
 		a.Body = &delimitedBody{
 			body:    response.Body,
 			conn:    conn,
--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -92,7 +92,7 @@
 	if headErr := c.checkHead(); headErr != nil {
 		return nil, headErr
 	}
-	if n == 1 && c.Len() == 0 && c.head.delimited() && err != nil && !errors.Is(err, io.EOF) {
+	if n == 1 && c.Len() == 0 && c.head.consumed && c.head.delimited && err != nil && !errors.Is(err, io.EOF) {
 		// The library takes any error here for the end of the body. It then asks for the bytes that have arrived, none, and returns the
 		// error of that.
 		c.broken = err
--- a/pkg/dialer/head.go
+++ b/pkg/dialer/head.go
@@ -12,8 +12,8 @@
 type head struct {
 	// status is 0 until the whole head has arrived and is valid.
 	status int
-	// unframed is set if the body after it ends with its connection.
-	unframed bool
+	// delimited is set if the body after it ends with its connection.
+	delimited bool
 	// consumed is set once the library has read the final head.
 	consumed bool
 	// continued is set after an informational head.
@@ -36,7 +36,7 @@
 		}
 	}
 	h.status = response.StatusCode
-	h.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	h.delimited = headreader.Delimited(response)
 	return nil
 }
 
@@ -53,8 +53,3 @@
 	}
 	h.consumed = true
 }
-
-// delimited reports whether a body is read that ends with its connection.
-func (h *head) delimited() bool {
-	return h.consumed && h.unframed
-}
--- a/pkg/headreader/reader.go
+++ b/pkg/headreader/reader.go
@@ -59,3 +59,8 @@
 	}
 	return response, nil
 }
+
+// Delimited reports whether the body after a head ends with its connection, since it has neither a length nor chunks.
+func Delimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
