--- a/internal/emulator/breaker/breaker.go
+++ b/internal/emulator/breaker/breaker.go
@@ -37,7 +37,7 @@
 	rest = "\r\n" + fields + "Content-Length: 2\r\n\r\n{}"
 )
 
-// Answers returns broken answers by what is wrong with them. Their body would be a valid one if it were taken for whole.
+// Answers returns broken answers by what is wrong with them; as far as their bodies arrive, they are valid JSON.
 func Answers() map[string]Answer {
 	answers := map[string]Answer{
 		"reset without a length": {
@@ -87,20 +87,20 @@
 	return answers
 }
 
-// FieldLines returns lines of a head whose field's name is none, by what is wrong with it.
+// FieldLines returns lines of a head with invalid field names, by what is wrong with them.
 func FieldLines() map[string]string {
 	lines := map[string]string{
-		"blank in a name":                        "Trouble here: 1",
-		"blank after a name":                     "Trouble : 1",
-		"blank after the name of the framing":    "Transfer-Encoding : chunked",
-		"blank after the name of the length":     "Content-Length : 1",
-		"control byte after that of the framing": "Transfer-Encoding\x01: chunked",
-		"control byte after that of the length":  "Content-Length\x1f: 1",
-		"blank before a name":                    " Trouble: 1",
-		"tab before a name":                      "\tTrouble: 1",
-		"blank before the name of the framing":   " Transfer-Encoding: chunked",
-		"blank before the name of the length":    " Content-Length: 1",
-		"no name":                                ": 1",
+		"blank in a name":                      "Trouble here: 1",
+		"blank after a name":                   "Trouble : 1",
+		"blank after Transfer-Encoding":        "Transfer-Encoding : chunked",
+		"blank after Content-Length":           "Content-Length : 1",
+		"control byte after Transfer-Encoding": "Transfer-Encoding\x01: chunked",
+		"control byte after Content-Length":    "Content-Length\x1f: 1",
+		"blank before a name":                  " Trouble: 1",
+		"tab before a name":                    "\tTrouble: 1",
+		"blank before Transfer-Encoding":       " Transfer-Encoding: chunked",
+		"blank before Content-Length":          " Content-Length: 1",
+		"empty name":                           ": 1",
 	}
 	for _, c := range []byte{0, 1, '\t', '\v', '\r', 0x1b, 0x7f} {
 		lines[fmt.Sprintf("control byte %#x in a name", c)] = "Trou" + string(rune(c)) + "ble: 1"
--- a/internal/receiver/broken_test.go
+++ b/internal/receiver/broken_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against an answer of a target in trouble whose status is none, and against its body that is read as the answer (operators'
-// report).
+// Guards against an answer with an invalid status that is passed on, and against its body that is read as the answer (operators' report).
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000 Trouble", "099 Trouble", "101 Switching Protocols", "600 Trouble"} {
 		t.Run(status, func(t *testing.T) {
@@ -74,8 +73,8 @@
 	}
 }
 
-// Guards against an answer in whose head the name of a field holds a blank or a control byte: the line was passed on, or the body was read
-// with another framing than the target's (operators' report).
+// Guards against an answer with a blank or a control byte in a field name: the line was passed on, or the body was framed otherwise than by
+// the target (operators' report).
 func TestInvalidFieldName(t *testing.T) {
 	for what, line := range breaker.FieldLines() {
 		t.Run(what, func(t *testing.T) {
--- a/pkg/dialer/head.go
+++ b/pkg/dialer/head.go
@@ -20,7 +20,7 @@
 	continued bool
 }
 
-// parse parses the head if all of it has arrived; it fails if the head is malformed or isn't the answer's.
+// parse parses the head if all of it has arrived; it fails if the head is invalid.
 func (h *head) parse(arrived []byte) error {
 	if !bytes.Contains(arrived, []byte("\n\r\n")) && !bytes.Contains(arrived, []byte("\n\n")) {
 		return nil
--- a/pkg/headreader/doc.go
+++ b/pkg/headreader/doc.go
@@ -1,2 +1,2 @@
-// Package headreader reads the heads of HTTP answers, and rejects those that are no answer's.
+// Package headreader reads the heads of HTTP answers and rejects invalid ones.
 package headreader
--- a/pkg/headreader/lines.go
+++ b/pkg/headreader/lines.go
@@ -3,11 +3,10 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 )
 
-// FoldedLineError means that a line in the head of an answer begins with a blank. It is either a field's whose name does, or it continues
-// the one before, which a gateway may answer with 502 (RFC 9112, section 5.2).
+// FoldedLineError means that a line of the head begins with a blank: the field name does, or the line continues the one before, which a
+// gateway may reject with 502 (RFC 9112, section 5.2).
 type FoldedLineError struct{}
 
 // Error returns the message.
@@ -15,20 +14,20 @@
 	return "a line of the head begins with a blank"
 }
 
-// lineReader hands on a head by its lines, and what follows it as it is. It fails with a FoldedLineError.
+// lineReader reads a head line by line, and then the bytes after it unchanged. It fails with a FoldedLineError.
 type lineReader struct {
 	reader *bufio.Reader
-	// rest is what has not been handed on of the present line.
+	// rest is the unread part of the current line.
 	rest []byte
-	// within is set if the present line goes on after rest.
+	// within is set if the current line continues after rest.
 	within bool
 	// ended is set after the empty line that ends the head.
 	ended bool
-	// err is the error after rest. It is returned by each further read, since net/http passes over one when it looks for another line.
+	// err is the error after rest. Every later read returns it, since net/http ignores an error while it looks for a continuation line.
 	err error
 }
 
-// Read reads from one line of the head, or from what follows it.
+// Read reads from one line of the head, or from the bytes after the head.
 func (l *lineReader) Read(p []byte) (int, error) {
 	if len(l.rest) == 0 {
 		if l.ended {
@@ -61,5 +60,3 @@
 		l.err = err
 	}
 }
-
-var _ io.Reader = (*lineReader)(nil)
--- a/pkg/headreader/reader.go
+++ b/pkg/headreader/reader.go
@@ -17,17 +17,17 @@
 
 // Error returns the message with the status.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %03d is none of an answer", e.Status)
+	return fmt.Sprintf("invalid status %03d", e.Status)
 }
 
-// FieldNameError means that the name of a field in the head of an answer holds a blank.
+// FieldNameError means that a field name contains a blank.
 type FieldNameError struct {
 	Name string
 }
 
 // Error returns the message with the name.
 func (e *FieldNameError) Error() string {
-	return fmt.Sprintf("the name of the field %q holds a blank", e.Name)
+	return fmt.Sprintf("the field name %q contains a blank", e.Name)
 }
 
 // Read reads the head of an answer to a request of the given method, informational or final; an empty method means GET. It fails with a
@@ -50,7 +50,7 @@
 		}
 	}
 	for name := range response.Header {
-		// net/http rejects all other bytes that aren't a name's. Another recipient may drop the blank, and then frame the body by the field.
+		// net/http rejects all other invalid bytes. A recipient that drops the blank may frame the body by this field.
 		if strings.Contains(name, " ") {
 			return nil, &FieldNameError{
 				Name: name,
--- a/pkg/headreader/reader_test.go
+++ b/pkg/headreader/reader_test.go
@@ -11,7 +11,7 @@
 	"bergamothollow.example/bergamothollow/internal/emulator/breaker"
 )
 
-// Guards against an answer whose status is none that is read as an informational or a final one.
+// Guards against an invalid status that is read as an informational or a final one.
 func TestStatus(t *testing.T) {
 	for status, want := range map[string]bool{
 		"100": true, "103": true, "200": true, "299": true, "304": true, "404": true, "599": true,
@@ -28,7 +28,7 @@
 	}
 }
 
-// Guards against a field whose name is none: a recipient that reads it in another way takes another framing.
+// Guards against invalid field names: recipients that read them in different ways frame the body differently.
 func TestFieldName(t *testing.T) {
 	for what, line := range breaker.FieldLines() {
 		t.Run(what, func(t *testing.T) {
