--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -71,10 +72,15 @@
 	for _, c := range []struct {
 		name   string
 		status string
+		// length is that of the request's body in bytes, longRequest if it is 0.
+		length int
 		end    func(*net.TCPConn, io.Reader)
 		whole  bool
 	}{
 		{name: "success, reset", status: "200 OK", end: reset},
+		{name: "success, reset, a request of 300 bytes", status: "200 OK", length: 300, end: reset},
+		{name: "success, reset, a request of 400 kB", status: "200 OK", length: 400_000, end: reset},
+		{name: "success, reset, a request of 3 MB", status: "200 OK", length: 3_000_000, end: reset},
 		{name: "error, reset", status: "413 Content Too Large", end: reset},
 		{name: "success, closed without reading the request", status: "200 OK", end: closeUnread},
 		{name: "error, closed without reading the request", status: "413 Content Too Large", end: closeUnread, whole: true},
@@ -84,16 +90,16 @@
 			want := strings.Repeat("x", 1080)
 			address := earlyTarget(t, fmt.Sprintf("HTTP/1.1 %s\r\nConnection: close\r\n\r\n%s", c.status, want), c.end)
 			for try := range raceTries {
-				assertEnd(t, try, address, want, c.whole)
+				assertEnd(t, try, address, cmp.Or(c.length, longRequest), want, c.whole)
 			}
 		})
 	}
 }
 
-// assertEnd checks whether the body of an answer to a long request reads as whole.
-func assertEnd(t *testing.T, try int, address, want string, whole bool) {
+// assertEnd checks whether the body of an answer to a request of the length in bytes reads as whole.
+func assertEnd(t *testing.T, try int, address string, length int, want string, whole bool) {
 	t.Helper()
-	answer, err := send(t, address, strings.Repeat("x", longRequest))
+	answer, err := send(t, address, strings.Repeat("x", length))
 	if err != nil {
 		var failed *SendError
 		if whole || !errors.As(err, &failed) || !failed.Sent {
--- a/internal/receiver/broken_test.go
+++ b/internal/receiver/broken_test.go
@@ -90,3 +90,28 @@
 		})
 	}
 }
+
+// Guards against memory that counts as reserved, and an engine that counts as running, by an answer that is none.
+func TestBrokenAnswersToOrders(t *testing.T) {
+	f := newFixture(t, serviceEngine, io.Discard)
+	for name, answer := range breaker.Answers() {
+		if answer.End != breaker.Closed {
+			// The status says all; no body is read.
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			listener := listen(t)
+			breaker.Serve(listener, answer)
+			reservation := Reservation{
+				ID:      "reservation",
+				Engine:  "engine",
+				Address: listener.Addr().String(),
+				Tokens:  1,
+			}
+			err := f.server.order(context.Background(), reservation, testOrders().Reserve(reservation, leaseTime))
+			if answered(err) || reservationGone(err, true) {
+				t.Errorf("got %v, want an order without an answer", err)
+			}
+		})
+	}
+}
