--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -58,9 +58,8 @@
 type scenario func(r *recorder, d *deployment, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"counts": counts,
-	"drill":  drill,
-	"parts":  parts,
+	"drill": drill,
+	"parts": parts,
 }
 
 func main() {
--- a/review/_standin3/parts.go
+++ b/review/_standin3/parts.go
@@ -12,6 +12,9 @@
 	authors = 200
 	// historyParts is the number of shared parts that the long prompts have in common; their headers stay below the limit.
 	historyParts = 220
+	// draftTokens are the counts of a prompt and its answer.
+	draftTokens = "1000,50"
+	draftLimit  = 10 * time.Second
 	// growTime is how long they ask at most.
 	growTime = 95 * time.Second
 	// memoryInterval is how often the platform looks at the memory of a process.
