--- a/review/_standin3/parts.go
+++ b/review/_standin3/parts.go
@@ -9,7 +9,7 @@
 
 const (
 	// authors is the number of clients that ask for streams.
-	authors = 200
+	authors = 400
 	// historyParts is the number of shared parts that the long prompts have in common; their headers stay below the limit.
 	historyParts = 220
 	// draftTokens are the counts of a prompt and its answer.
