--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -68,10 +67,10 @@
 
 func play(arguments []string) int {
 	if len(arguments) != 3 || scenarios[arguments[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 SCENARIO FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin3 SCENARIO RECORD")
 		return failedCode
 	}
-	file, err := os.Create(filepath.Join(arguments[2], "record.txt"))
+	file, err := os.Create(arguments[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failedCode
