--- a/internal/bundler/roll.go
+++ b/internal/bundler/roll.go
@@ -9,6 +9,7 @@
 	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/pkg/roller"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // maxPaths is the maximum number of differing paths that an error lists.
@@ -99,7 +100,7 @@
 		Kind: storer.KindBundlePointer,
 		Name: storer.CurrentName,
 		Current: storer.Object{
-			Version: pointer.Version,
+			Version: versioner.Of(pointer.Version),
 		},
 		By:         pointer.Value.RolledBy,
 		AnswerLost: answerLost,
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -22,6 +22,7 @@
 	"bergamothollow.example/bergamothollow/pkg/refuser"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -213,12 +214,12 @@
 	}
 }
 
-func writeEvent(written int64, err error) deduplicator.Event {
+func writeEvent(written versioner.Version, err error) deduplicator.Event {
 	var conflict *storer.ConflictError
 	switch {
 	case err == nil:
 		return deduplicator.Written{
-			Version: written,
+			Version: written.Number,
 		}
 	case errors.As(err, &conflict):
 		return conflictEvent(conflict)
@@ -231,8 +232,8 @@
 
 func conflictEvent(conflict *storer.ConflictError) deduplicator.Event {
 	event := deduplicator.Conflict{
-		Exists:  conflict.Current.Version > 0,
-		Version: conflict.Current.Version,
+		Exists:  conflict.Current.Exists(),
+		Version: conflict.Current.Number,
 	}
 	if event.Exists && json.Unmarshal(conflict.Current.Value, &event.Record) != nil {
 		return deduplicator.WriteUncertain{}
@@ -248,7 +249,7 @@
 	}
 	event := deduplicator.ReadResult{
 		Exists:  true,
-		Version: object.Version,
+		Version: object.Number,
 	}
 	if err != nil || json.Unmarshal(object.Value, &event.Record) != nil {
 		return deduplicator.ReadFailed{}
--- a/internal/caller/settler.go
+++ b/internal/caller/settler.go
@@ -8,6 +8,7 @@
 
 	"bergamothollow.example/bergamothollow/pkg/deduplicator"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // settleInterval is the time between two passes over the records that are not stored yet.
@@ -88,11 +89,11 @@
 		return deduplicator.WriteRefused{}
 	}
 	store := client.WithoutRetry(storer.PriorityNormal)
-	var written int64
+	var written versioner.Version
 	if version == 0 {
 		written, err = store.Create(ctx, storer.KindCall, name, value)
 	} else {
-		written, err = store.Update(ctx, storer.KindCall, name, version, value)
+		written, err = store.Update(ctx, storer.KindCall, name, versioner.Of(version), value)
 	}
 	return writeEvent(written, err)
 }
--- a/internal/changer/changer.go
+++ b/internal/changer/changer.go
@@ -10,6 +10,7 @@
 
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -103,10 +104,14 @@
 
 func (s *writeState) send(ctx context.Context) (int64, error) {
 	w := s.write
+	var version versioner.Version
+	var err error
 	if w.Version == 0 {
-		return s.changer.Store.Create(ctx, w.Kind, w.Name, s.encoded)
+		version, err = s.changer.Store.Create(ctx, w.Kind, w.Name, s.encoded)
+	} else {
+		version, err = s.changer.Store.Update(ctx, w.Kind, w.Name, versioner.Of(w.Version), s.encoded)
 	}
-	return s.changer.Store.Update(ctx, w.Kind, w.Name, w.Version, s.encoded)
+	return version.Number, err
 }
 
 // readBack reads the object after a lost response. If the object is unchanged, the write's outcome is not final and it is
@@ -117,7 +122,7 @@
 	if err != nil && !errors.As(err, &missing) {
 		return 0, false, cause
 	}
-	if current.Version == s.write.Version {
+	if current.Version == versioner.Of(s.write.Version) {
 		return 0, false, cause
 	}
 	version, err = s.compare(current)
@@ -127,7 +132,7 @@
 // compare returns the version of the object if it holds this write, whose response was lost, else a conflict.
 func (s *writeState) compare(current storer.Object) (int64, error) {
 	if s.answerLost && sameJSON(current.Value, s.encoded) {
-		return current.Version, nil
+		return current.Number, nil
 	}
 	return 0, &ConflictError{
 		Kind:       s.write.Kind,
--- a/internal/changer/errors.go
+++ b/internal/changer/errors.go
@@ -25,7 +25,7 @@
 // Error names the other change and what to do next.
 func (e *ConflictError) Error() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "conflict on %s %q: it is now at version %d", e.Kind, e.Name, e.Current.Version)
+	fmt.Fprintf(&b, "conflict on %s %q: it is now at version %d", e.Kind, e.Name, e.Current.Number)
 	if e.By != "" {
 		fmt.Fprintf(&b, ", changed by %s", e.By)
 	}
--- a/internal/cmd/config/check/rules.go
+++ b/internal/cmd/config/check/rules.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return matcher.Rules{}, err
 	}
-	store, err := platform.NewStore(settings.Platform.Address, settings.Platform.Timeout, func(storer.Kind, error) {})
+	store, err := platform.NewStore(settings.Platform.Address, settings.Platform.Timeout, func(storer.Kind, error) {}, func(string, int64) {})
 	if err != nil {
 		return matcher.Rules{}, err
 	}
--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -217,6 +217,9 @@
 	}
 	platformStore, err := platform.NewStore(s.Platform.Address, s.Platform.Timeout, func(kind storer.Kind, cause error) {
 		i.logger.Warn().Str("kind", string(kind)).Err(cause).Msg("gateway: skipped an unreadable store object")
+	}, func(value string, newest int64) {
+		i.logger.Error().Str("era", value).Int64("newest", newest).
+			Msg("gateway: the store states an invalid or former era, counting its answers as of the newest: restart all instances if it was replaced")
 	})
 	if err != nil {
 		return err
@@ -387,6 +390,19 @@
 			ConstLabels: prometheus.Labels{"state": name},
 		}, func() float64 { return float64(count(i.control.Returns())) }))
 	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bergamothollow_gateway_store_era",
+		Help: "Newest era that the store has stated, which rises when it is restored from a copy; 0 if it states none.",
+	}, func() float64 { return float64(i.control.View().StoreEra) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bergamothollow_gateway_rules_retained",
+		Help: "1 while the rules in force are newer than those of the store, else 0.",
+	}, func() float64 {
+		if i.control.View().RulesRetained {
+			return 1
+		}
+		return 0
+	}))
 	i.sizing.Register(registry)
 	i.duties.Register(registry)
 	g := s.Gateway
--- a/internal/cmd/target/add/adder.go
+++ b/internal/cmd/target/add/adder.go
@@ -11,6 +11,7 @@
 	"bergamothollow.example/bergamothollow/internal/factory"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/tracker"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const help = `bergamothollow target add --file targets.yaml [--replace]
@@ -91,7 +92,7 @@
 			Kind: storer.KindTarget,
 			Name: string(target.ID),
 			Current: storer.Object{
-				Version: current.Version,
+				Version: versioner.Of(current.Version),
 			},
 			Changes: []string{fmt.Sprintf("it exists with other content: %+v", current.Value)},
 			Next:    "correct the file, or add --replace",
--- a/internal/controller/distribution.go
+++ b/internal/controller/distribution.go
@@ -195,7 +195,7 @@
 
 func decodeDeparture(object storer.Object) departuresRead {
 	read := departuresRead{
-		version: object.Version,
+		version: object.Number,
 	}
 	read.err = json.Unmarshal(object.Value, &read.departure)
 	return read
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -13,6 +13,7 @@
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/reconciler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -133,7 +134,7 @@
 
 func (c *Controller) deleteCall(a deduplicator.Delete) {
 	c.startIO(c.storeTimeout(), func(ctx context.Context) message {
-		if err := c.options.Store.WithoutRetry(storer.PriorityNormal).Delete(ctx, storer.KindCall, a.Name, a.Version); err != nil {
+		if err := c.options.Store.WithoutRetry(storer.PriorityNormal).Delete(ctx, storer.KindCall, a.Name, versioner.Of(a.Version)); err != nil {
 			c.options.Log.Debug().Err(err).Msg("controller: cannot remove old call record")
 		}
 		return nil
@@ -145,7 +146,7 @@
 	for _, o := range objects {
 		call := deduplicator.Stored{
 			Name:    o.Name,
-			Version: o.Version,
+			Version: o.Number,
 		}
 		if json.Unmarshal(o.Value, &call.Record) == nil {
 			stored = append(stored, call)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -12,6 +12,7 @@
 	"bergamothollow.example/bergamothollow/pkg/reserver"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/tracker"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // memberState is the write state of this instance's member record.
@@ -69,7 +70,7 @@
 			continue
 		}
 		members = append(members, member)
-		c.trackerActions(c.tracker.ObserveMember(o.Version, member, now), now)
+		c.trackerActions(c.tracker.ObserveMember(o.Number, member, now), now)
 	}
 	c.electorActions(c.elector.Handle(elector.MembersRead{
 		Requested: m.requested,
@@ -136,7 +137,7 @@
 			read.err = err
 			return read
 		}
-		read.version = object.Version
+		read.version = object.Number
 		read.err = json.Unmarshal(object.Value, &read.table)
 		return read
 	})
@@ -184,20 +185,20 @@
 		version, err := c.writeTableOnce(ctx, a, value)
 		return tableWritten{
 			number:  a.Table.WriteNumber,
-			version: version,
+			version: version.Number,
 			err:     err,
 		}
 	})
 }
 
 // writeTableOnce writes the table without retries: the elector must learn of an unknown outcome, and then reads the table.
-func (c *Controller) writeTableOnce(ctx context.Context, a elector.WriteTable, value json.RawMessage) (int64, error) {
+func (c *Controller) writeTableOnce(ctx context.Context, a elector.WriteTable, value json.RawMessage) (versioner.Version, error) {
 	store := c.options.Store.WithoutRetry(storer.PriorityControl)
 	name := string(c.options.Settings.Cell)
 	if a.Version == 0 {
 		return store.Create(ctx, storer.KindCell, name, value)
 	}
-	return store.Update(ctx, storer.KindCell, name, a.Version, value)
+	return store.Update(ctx, storer.KindCell, name, versioner.Of(a.Version), value)
 }
 
 func (c *Controller) handleTableWritten(m tableWritten, now time.Time) {
@@ -270,20 +271,20 @@
 	c.startIO(c.storeTimeout(), func(ctx context.Context) message {
 		version, err := c.writeMember(ctx, name, version, value, member)
 		return memberWritten{
-			version: version,
+			version: version.Number,
 			err:     err,
 		}
 	})
 }
 
-func (c *Controller) writeMember(ctx context.Context, name string, version int64, value json.RawMessage, member tracker.Member) (int64, error) {
+func (c *Controller) writeMember(ctx context.Context, name string, version int64, value json.RawMessage, member tracker.Member) (versioner.Version, error) {
 	ownWrite := storer.OwnWriteIf(func(stored tracker.Member) bool {
 		return stored.Holder == member.Holder && stored.Number == member.Number
 	})
 	if version == 0 {
 		return c.options.Store.Create(ctx, storer.PriorityControl, storer.KindMember, name, value, ownWrite)
 	}
-	return c.options.Store.Update(ctx, storer.PriorityControl, storer.KindMember, name, version, value, ownWrite)
+	return c.options.Store.Update(ctx, storer.PriorityControl, storer.KindMember, name, versioner.Of(version), value, ownWrite)
 }
 
 func (c *Controller) handleMemberWritten(m memberWritten, now time.Time) {
@@ -296,7 +297,7 @@
 		c.recordStoreContact(now)
 	case errors.As(m.err, &conflict):
 		// The record was written by an earlier process under this name, or by this process in a call whose answer was lost.
-		c.member.version = conflict.Current.Version
+		c.member.version = conflict.Current.Number
 		c.recordStoreContact(now)
 	default:
 		c.logStoreError("renew member record", m.err)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -28,6 +28,7 @@
 	"bergamothollow.example/bergamothollow/pkg/sizer"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // Format defines the names and the encoding of the objects in the store.
@@ -95,6 +96,10 @@
 	Began time.Time
 	// StoreLost is set while this instance's calls to the store fail.
 	StoreLost bool
+	// StoreEra is the newest era of the store that this instance has heard of, 0 if the store states none.
+	StoreEra int64
+	// RulesRetained is set while the rules in force are newer than those of the store.
+	RulesRetained bool
 	// Isolated holds the parts of prompts that crash engines, and until when requests with them are refused.
 	Isolated map[namer.Part]time.Time
 }
@@ -105,11 +110,14 @@
 	messages chan message
 	view     atomic.Pointer[View]
 
-	rules     *matcher.Matcher
-	catalogue *cataloguer.Cataloguer
-	scheduler *scheduler.Scheduler
-	balancer  *balancer.Balancer
-	isolator  *isolator.Isolator
+	rules *matcher.Matcher
+	// rulesObject is the object of the rules in force, and rulesRetained is set while the store has older rules or none.
+	rulesObject   storer.Object
+	rulesRetained bool
+	catalogue     *cataloguer.Cataloguer
+	scheduler     *scheduler.Scheduler
+	balancer      *balancer.Balancer
+	isolator      *isolator.Isolator
 	// soundParts are the parts with which answers have begun and of which the leader hasn't heard yet.
 	soundParts map[namer.Part]bool
 	// soundSentAt is when the leader last heard of them.
@@ -151,7 +159,7 @@
 	// objects are the objects of the store that this instance knows.
 	objects map[storer.Kind]map[string]storer.Object
 	// removed holds the versions at which objects were removed.
-	removed map[objectKey]int64
+	removed map[objectKey]versioner.Version
 	// unreported are changes read from the store that have yet to be sent to the leader.
 	unreported []storer.Event
 	// firstListed holds when targets first appeared; hasUnannounced is set while some are so new that followers may not know
@@ -189,7 +197,11 @@
 	// answeredKinds holds the kinds for which the store has answered since watching began.
 	answeredKinds map[storer.Kind]bool
 	// completeUpTo holds, for the kinds that this instance has listed, the version of the store up to which it knows all objects.
-	completeUpTo map[storer.Kind]int64
+	completeUpTo map[storer.Kind]versioner.Version
+	// completeEras holds the newest era of which this instance has known all objects of a kind, by itself or from a leader.
+	completeEras map[storer.Kind]int64
+	// era is the newest era of the store that this instance has heard of, 0 if the store states none.
+	era int64
 	// heard holds the kinds of which this instance has had all objects at some time, by itself or from a leader.
 	heard map[storer.Kind]bool
 	// informed is closed once the first view with View.Informed is published; began is when this instance was made.
@@ -239,13 +251,14 @@
 		followers:       map[*link]struct{}{},
 		pendingMessages: map[*link][]peerMessage{},
 		objects:         map[storer.Kind]map[string]storer.Object{},
-		removed:         map[objectKey]int64{},
+		removed:         map[objectKey]versioner.Version{},
 		firstListed:     map[namer.Target]time.Time{},
 		rank:            -1,
 		lostKinds:       map[storer.Kind]bool{},
 		failures:        map[storer.Kind]int{},
 		answeredKinds:   map[storer.Kind]bool{},
-		completeUpTo:    map[storer.Kind]int64{},
+		completeUpTo:    map[storer.Kind]versioner.Version{},
+		completeEras:    map[storer.Kind]int64{},
 		duties:          newDuties(o),
 		heard:           map[storer.Kind]bool{},
 		informed:        make(chan struct{}),
@@ -529,6 +542,7 @@
 func (c *Coordinator) handleWatchResult(now time.Time, m watchResult) {
 	c.failures[m.kind]++
 	if m.err == nil {
+		c.enterEra(now, m.version)
 		c.failures[m.kind] = 0
 		c.answeredKinds[m.kind] = true
 		c.recordComplete(m.kind, m.version)
@@ -551,24 +565,37 @@
 
 // applyChange applies a change from the store and reports whether it was new.
 func (c *Coordinator) applyChange(now time.Time, e storer.Event) bool {
+	c.enterEra(now, e.Object.Version)
+	prior := c.prior(e.Object)
 	if !c.recordObject(e) {
 		return false
 	}
 	if c.convener.Role() == convener.Leading {
 		c.unsentChanges = append(c.unsentChanges, e)
 	}
+	if prior.repeats(e) {
+		return true
+	}
 	put := e.Type == storer.EventPut
 	switch e.Object.Kind {
 	case c.options.Format.RulesKind:
-		if put && e.Object.Name == c.options.Format.RulesName {
+		if e.Object.Name != c.options.Format.RulesName {
+			break
+		}
+		if put {
 			c.changeRules(e.Object)
+		} else {
+			c.retainRules()
 		}
 	case c.options.Format.TargetKind:
+		id := namer.Target(e.Object.Name)
+		inUse := c.catalogue.Target(id) != nil
 		c.changeTarget(now, e.Object, put)
+		if prior.reappears(e) && !inUse {
+			c.catalogue.Doubt(now, id)
+		}
 	case c.options.Format.EvacuationKind:
-		c.catalogue.Evacuate(namer.DataCentre(e.Object.Name), put)
-		c.options.Log.Info().Str("data_centre", e.Object.Name).Bool("out", put).Int64("version", e.Object.Version).
-			Msg("coordinator: evacuation")
+		c.changeEvacuation(now, e.Object, put, prior.lapses(e))
 	}
 	c.viewOutdated = true
 	return true
@@ -577,32 +604,51 @@
 func (c *Coordinator) changeRules(o storer.Object) {
 	rules, err := c.options.Format.DecodeRules(o.Value)
 	if err != nil {
-		c.options.Log.Error().Err(err).Int64("version", o.Version).Msg("coordinator: rules not readable, keeping the previous version")
+		c.options.Log.Error().Err(err).Int64("version", o.Number).Msg("coordinator: rules not readable, keeping the previous version")
 		return
 	}
 	// Versions increase with each change; never return to an older one.
 	if c.rules != nil && rules.Version < c.rules.Rules.Version {
 		c.options.Log.Warn().Int64("version", rules.Version).Int64("in_force", c.rules.Rules.Version).
 			Msg("coordinator: older rules ignored")
+		c.retainRules()
 		return
 	}
+	c.putRulesInForce(o, rules)
+	c.rulesRetained = false
+}
+
+func (c *Coordinator) putRulesInForce(o storer.Object, rules matcher.Rules) {
 	c.rules = matcher.New(rules)
+	c.rulesObject = o
 	c.options.Log.Info().Int64("version", rules.Version).Int("routes", len(rules.Routes)).
 		Int("customers", len(rules.Customers)).Msg("coordinator: rules in force")
 	c.logInvalidScaling()
 }
 
+// changeEvacuation starts or ends an evacuation; lapsed is set if it ends only since a restored store lacks it.
+func (c *Coordinator) changeEvacuation(now time.Time, o storer.Object, out, lapsed bool) {
+	centre := namer.DataCentre(o.Name)
+	if lapsed {
+		c.catalogue.LapseEvacuation(now, centre)
+	} else {
+		c.catalogue.Evacuate(centre, out)
+	}
+	c.options.Log.Info().Str("data_centre", o.Name).Bool("out", out).Bool("lapsed", lapsed).Int64("version", o.Number).
+		Msg("coordinator: evacuation")
+}
+
 func (c *Coordinator) changeTarget(now time.Time, o storer.Object, put bool) {
 	id := namer.Target(o.Name)
 	if !put {
 		c.catalogue.Remove(now, id)
 		delete(c.firstListed, id)
-		c.options.Log.Info().Str("target", o.Name).Int64("version", o.Version).Msg("coordinator: target removed")
+		c.options.Log.Info().Str("target", o.Name).Int64("version", o.Number).Msg("coordinator: target removed")
 		return
 	}
 	target, err := c.options.Format.DecodeTarget(o.Name, o.Value, now)
 	if err != nil {
-		c.options.Log.Warn().Err(err).Int64("version", o.Version).Msg("coordinator: target entry cannot be decoded")
+		c.options.Log.Warn().Err(err).Int64("version", o.Number).Msg("coordinator: target entry cannot be decoded")
 		c.catalogue.Remove(now, id)
 		return
 	}
@@ -615,7 +661,7 @@
 		return
 	}
 	c.options.Log.Info().Str("target", o.Name).Str("address", target.Address).Str("service", string(target.Service)).
-		Bool("leaving", target.Leaving).Int64("version", o.Version).Msg("coordinator: target listed")
+		Bool("leaving", target.Leaving).Int64("version", o.Number).Msg("coordinator: target listed")
 }
 
 func (c *Coordinator) upkeep(ctx context.Context) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -27,6 +27,7 @@
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -60,7 +61,7 @@
 	return w.Keeper.List(ctx, kind, prefix, after, limit)
 }
 
-func (w watchableStore) Watch(ctx context.Context, kind storer.Kind, after int64, wait time.Duration) (storer.Changes, error) {
+func (w watchableStore) Watch(ctx context.Context, kind storer.Kind, after versioner.Version, wait time.Duration) (storer.Changes, error) {
 	w.calls.Add(1)
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 		if w.down.Load() {
@@ -72,9 +73,9 @@
 		}
 		var changes storer.Changes
 		for _, o := range listing.Items {
-			if o.Version > after {
+			if o.After(after) {
 				changes.Events = append(changes.Events, storer.Event{Type: storer.EventPut, Object: o})
-				changes.Version = max(changes.Version, o.Version)
+				changes.Version = versioner.Latest(changes.Version, o.Version)
 			}
 		}
 		if len(changes.Events) > 0 {
@@ -352,12 +353,12 @@
 func TestTargetsLeaveWhileTheLeaderHasLostTheStore(t *testing.T) {
 	c := New(startInstance(t, newStore(), 0).options)
 	now := time.Unix(1_000, 0)
-	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(3), Value: json.RawMessage(`{"ID":"a"}`)}
 	c.applyChange(now, storer.Event{Type: storer.EventPut, Object: entry})
 	c.handleLeaderStoreState(now, true)
 	c.handleWatchResult(now, watchResult{kind: kindTargets})
 	later := now.Add(c.options.Catalogue.ReregistrationTime + time.Second)
-	entry.Version = 4
+	entry.Version = versioner.Of(4)
 	c.applyChange(later, storer.Event{Type: storer.EventDelete, Object: entry})
 	if c.catalogue.Catalogue().Usable("a") {
 		t.Error("a target that has left is still usable")
@@ -444,12 +445,12 @@
 func TestOlderReportsAreIgnored(t *testing.T) {
 	c := New(startInstance(t, newStore(), 0).options)
 	now := time.Unix(1_000, 0)
-	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(3), Value: json.RawMessage(`{"ID":"a"}`)}
 	c.applyChange(now, storer.Event{Type: storer.EventPut, Object: entry})
 	gone := entry
-	gone.Version = 5
+	gone.Version = versioner.Of(5)
 	c.applyChange(now, storer.Event{Type: storer.EventDelete, Object: gone})
-	entry.Version = 4
+	entry.Version = versioner.Of(4)
 	if c.applyChange(now, storer.Event{Type: storer.EventPut, Object: entry}) || c.catalogue.Catalogue().Usable("a") {
 		t.Error("a target that has left was restored")
 	}
@@ -458,7 +459,7 @@
 // Guards against work for a target that left while one watch was interrupted: a single failed call is no outage in which
 // entries expire. Watches are interrupted while engines drain (DRAIN on quetzal with platform_down and scale_in).
 func TestInterruptedWatchIsNoOutage(t *testing.T) {
-	entry := storer.Object{Kind: kindTargets, Name: "a", Version: 3, Value: json.RawMessage(`{"ID":"a"}`)}
+	entry := storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(3), Value: json.RawMessage(`{"ID":"a"}`)}
 	lost := watchResult{kind: kindTargets, err: &storer.UnavailableError{Cause: io.ErrUnexpectedEOF}}
 	for name, test := range map[string]struct {
 		failures int
@@ -475,7 +476,7 @@
 				c.handleWatchResult(now, lost)
 			}
 			gone := entry
-			gone.Version = 4
+			gone.Version = versioner.Of(4)
 			c.applyChange(now, storer.Event{Type: storer.EventDelete, Object: gone})
 			c.handleWatchResult(now, watchResult{kind: kindTargets})
 			if got := c.catalogue.Catalogue().Usable("a"); got != test.kept {
@@ -492,13 +493,13 @@
 	o := startInstance(t, newStore(), 0).options
 	o.Clock = clock
 	c := New(o)
-	c.convener.PointerWritten(clock.now, 1)
+	c.convener.PointerWritten(clock.now, versioner.Of(1))
 	c.members = make([]Member, storeReaders+1)
-	c.recordComplete(kindTargets, 1)
+	c.recordComplete(kindTargets, versioner.Of(1))
 	rules, _ := json.Marshal(rulesOf(1))
-	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: rules}})
+	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: versioner.Of(1), Value: rules}})
 	entry, _ := json.Marshal(cataloguer.Target{ID: "a", Service: "scribe", Slots: 16})
-	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: 2, Value: entry}})
+	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(2), Value: entry}})
 	c.publish()
 	if got := c.scheduler.Load(clock.now).Engines; got != 0 {
 		t.Errorf("%d engines are used before the followers know them", got)
@@ -573,7 +574,7 @@
 	now := time.Unix(1_000, 0)
 	rules := c.encodeObjects([]storer.Event{{
 		Type:   storer.EventPut,
-		Object: storer.Object{Kind: kindRules, Name: "main", Version: 2, Value: json.RawMessage(`{"Version":7}`)},
+		Object: storer.Object{Kind: kindRules, Name: "main", Version: versioner.Of(2), Value: json.RawMessage(`{"Version":7}`)},
 	}}, true)
 	c.handlePeerMessage(now, peerMessage{link: l, method: methodObjects, params: rules})
 	if c.rules != nil {
--- a/internal/coordinator/duty_record.go
+++ b/internal/coordinator/duty_record.go
@@ -88,8 +88,8 @@
 func decodeDuties(o storer.Object) (warden.Record, tallier.State, error) {
 	var stored storedDuties
 	var state tallier.State
-	if o.Version == 0 {
-		return warden.Record{}, state, nil
+	if !o.Exists() {
+		return warden.Record{Version: o.Version}, state, nil
 	}
 	if err := json.Unmarshal(o.Value, &stored); err != nil {
 		return warden.Record{}, state, err
@@ -120,7 +120,7 @@
 	object, err := c.options.Store.WithoutRetry(storer.PriorityControl).Get(call, c.options.Format.DutyKind, dutyRecordName)
 	var missing *storer.NotFoundError
 	if errors.As(err, &missing) {
-		object, err = storer.Object{}, nil
+		object, err = absentObject(missing), nil
 	}
 	c.sendDuties(ctx, object, err)
 }
@@ -137,7 +137,7 @@
 	store := c.options.Store.WithoutRetry(storer.PriorityControl)
 	kind := c.options.Format.DutyKind
 	version := r.Version
-	if version == 0 {
+	if !version.Exists() {
 		version, err = store.Create(call, kind, dutyRecordName, value)
 	} else {
 		version, err = store.Update(call, kind, dutyRecordName, version, value)
@@ -175,6 +175,7 @@
 	d := &c.duties
 	at := c.options.Duties.Elapsed()
 	_, _, held := d.warden.Turn(at)
+	c.enterEra(c.options.Clock.Now(), m.record.Version)
 	switch {
 	case m.err != nil:
 		c.options.Log.Warn().Err(m.err).Msg("duties: record not reached")
@@ -186,7 +187,7 @@
 	default:
 		d.warden.Seen(at, m.record)
 	}
-	if c.options.Duties.Usage && m.record.Version != 0 {
+	if c.options.Duties.Usage && m.record.Version.Exists() {
 		d.tallier.Adopt(m.state)
 	}
 	if fence, _, holds := d.warden.Turn(at); holds != held {
--- a/internal/coordinator/duty_test.go
+++ b/internal/coordinator/duty_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 var errReset = errors.New("connection reset")
@@ -140,7 +141,7 @@
 			}
 			c := New(o)
 			now := time.Now()
-			c.convener.PointerWritten(now, 1)
+			c.convener.PointerWritten(now, versioner.Of(1))
 			c.followerLost(now, test.lost)
 			if whole := c.countsKnown(now)(now.Add(-2 * time.Second).Unix()); whole == test.waited {
 				t.Errorf("counts known: %v, expected %v", whole, !test.waited)
--- a/internal/coordinator/duty_usage.go
+++ b/internal/coordinator/duty_usage.go
@@ -45,6 +45,22 @@
 	return c.trueTime().UnixMilli()
 }
 
+// nextWindow returns the first window whose count isn't final, 0 unless usage is counted.
+func (c *Coordinator) nextWindow() int64 {
+	if c.options.Duties == nil || !c.options.Duties.Usage {
+		return 0
+	}
+	return c.duties.tallier.Next()
+}
+
+// hearNextWindow records the first window whose count isn't final, as the leader knows it: a restored store may lack final counts, and the
+// leader may end before it has stored them again.
+func (c *Coordinator) hearNextWindow(next int64) {
+	if c.options.Duties != nil && c.options.Duties.Usage {
+		c.duties.tallier.Skip(next)
+	}
+}
+
 // hearTime records the time that a peer has sent.
 func (c *Coordinator) hearTime(l *link, sent int64) {
 	if sent != 0 && c.sentTime() != 0 {
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -9,6 +9,7 @@
 
 	"bergamothollow.example/bergamothollow/pkg/convener"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -24,7 +25,8 @@
 	return []storer.Kind{c.options.Format.RulesKind, c.options.Format.TargetKind, c.options.Format.EvacuationKind}
 }
 
-// recordObject records the latest version of an object and reports whether the event was new.
+// recordObject records the latest version of an object and reports whether the event was new. Versions are compared with their eras: a
+// restored store returns to older numbers.
 func (c *Coordinator) recordObject(e storer.Event) bool {
 	objects := c.objects[e.Object.Kind]
 	if objects == nil {
@@ -32,10 +34,11 @@
 		c.objects[e.Object.Kind] = objects
 	}
 	known, exists := objects[e.Object.Name]
-	if exists && known.Version > e.Object.Version || exists && known.Version == e.Object.Version && e.Type == storer.EventPut {
+	if exists && known.After(e.Object.Version) || exists && known.Version == e.Object.Version && e.Type == storer.EventPut {
 		return false
 	}
-	if e.Type == storer.EventPut && c.removed[objectKey{e.Object.Kind, e.Object.Name}] >= e.Object.Version {
+	removed, wasRemoved := c.removed[objectKey{e.Object.Kind, e.Object.Name}]
+	if e.Type == storer.EventPut && (wasRemoved && !e.Object.After(removed) || c.outdated(e)) {
 		return false
 	}
 	c.snapshot = nil
@@ -64,7 +67,7 @@
 	if len(c.removed) >= maxRemoved {
 		clear(c.removed)
 	}
-	c.removed[objectKey{gone.Kind, gone.Name}] = max(gone.Version, known.Version)
+	c.removed[objectKey{gone.Kind, gone.Name}] = versioner.Latest(gone.Version, known.Version)
 }
 
 // feedFollowers sends batched changes to the followers that don't watch the store, and a full snapshot to those that haven't
@@ -110,9 +113,10 @@
 }
 
 // recordComplete records the version up to which this instance knows all objects of a kind. Followers get a snapshot again once their
-// leader has listed one more kind, since only then it shows which of their objects are gone.
-func (c *Coordinator) recordComplete(kind storer.Kind, version int64) {
-	if _, listed := c.completeUpTo[kind]; !listed {
+// leader has listed one more kind, or a kind in a new era, since only then it shows which of their objects are gone.
+func (c *Coordinator) recordComplete(kind storer.Kind, version versioner.Version) {
+	c.completeEras[kind] = max(c.completeEras[kind], version.Era)
+	if before, listed := c.completeUpTo[kind]; !listed || before.Era < version.Era {
 		c.snapshot = nil
 		for l := range c.followers {
 			l.hasSnapshot = false
@@ -135,7 +139,7 @@
 	}
 }
 
-// encodeSnapshot encodes all known objects and removals; it returns nil if there are none.
+// encodeSnapshot encodes all known objects and removals; it returns nil if nothing is known. An empty one shows that the store is empty.
 func (c *Coordinator) encodeSnapshot() json.RawMessage {
 	var events []storer.Event
 	for key, version := range c.removed {
@@ -159,7 +163,7 @@
 			})
 		}
 	}
-	if len(events) == 0 {
+	if len(events) == 0 && len(c.completeUpTo) == 0 {
 		return nil
 	}
 	return c.encodeObjects(events, true)
@@ -180,7 +184,7 @@
 			Events: packed.Bytes(),
 		}
 		if whole {
-			m.Complete = c.completeUpTo
+			m.setComplete(c.completeUpTo)
 		}
 		message, err = json.Marshal(m)
 	}
@@ -190,18 +194,26 @@
 	return message
 }
 
-// applyObjects applies objects of the store that a peer has sent.
-func (c *Coordinator) applyObjects(now time.Time, m objectsMessage) error {
+// decode returns the events of a message.
+func (m *objectsMessage) decode() ([]storer.Event, error) {
 	r, err := gzip.NewReader(bytes.NewReader(m.Events))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var events []storer.Event
-	if err := json.NewDecoder(io.LimitReader(r, maxFeedBytes)).Decode(&events); err != nil {
+	err = json.NewDecoder(io.LimitReader(r, maxFeedBytes)).Decode(&events)
+	return events, err
+}
+
+// applyObjects applies objects of the store that a peer has sent.
+func (c *Coordinator) applyObjects(now time.Time, m objectsMessage) error {
+	events, err := m.decode()
+	if err != nil {
 		return err
 	}
+	complete := m.completeVersions()
 	if m.Whole {
-		events = append(c.missingObjects(events, m.Complete), events...)
+		events = append(c.missingObjects(events, complete), events...)
 	}
 	c.applyingSnapshot = m.Whole
 	changed := 0
@@ -218,6 +230,9 @@
 		c.hasSnapshot = true
 	}
 	if m.Whole {
+		for kind, version := range complete {
+			c.completeEras[kind] = max(c.completeEras[kind], version.Era)
+		}
 		c.hearWhole()
 	}
 	return nil
@@ -225,7 +240,7 @@
 
 // missingObjects returns deletions of the known objects that a snapshot lacks though it is complete up to their versions. It returns
 // none if this instance reads the store itself and so has newer data.
-func (c *Coordinator) missingObjects(events []storer.Event, complete map[storer.Kind]int64) []storer.Event {
+func (c *Coordinator) missingObjects(events []storer.Event, complete map[storer.Kind]versioner.Version) []storer.Event {
 	if c.readsStore() {
 		return nil
 	}
@@ -238,7 +253,9 @@
 	var gone []storer.Event
 	for _, kind := range c.watchedKinds() {
 		for name, o := range c.objects[kind] {
-			if !listed[objectKey{kind, name}] && o.Version <= complete[kind] {
+			upTo, known := complete[kind]
+			if !listed[objectKey{kind, name}] && known && !o.After(upTo) {
+				o.Version = upTo
 				gone = append(gone, storer.Event{
 					Type:   storer.EventDelete,
 					Object: o,
--- a/internal/coordinator/feed_test.go
+++ b/internal/coordinator/feed_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // modelKinds are the kinds of objects that instances follow.
@@ -15,7 +17,7 @@
 
 // modelStore is a store of which instances read one kind at a time.
 type modelStore struct {
-	version int64
+	version versioner.Version
 	objects map[objectKey]storer.Object
 }
 
@@ -26,7 +28,7 @@
 }
 
 func (s *modelStore) put(kind storer.Kind, name string) {
-	s.version++
+	s.version.Number++
 	s.objects[objectKey{kind, name}] = storer.Object{
 		Kind:    kind,
 		Name:    name,
@@ -36,10 +38,29 @@
 }
 
 func (s *modelStore) remove(kind storer.Kind, name string) {
-	s.version++
+	s.version.Number++
 	delete(s.objects, objectKey{kind, name})
 }
 
+// copy returns a copy of the store.
+func (s *modelStore) copy() *modelStore {
+	return &modelStore{
+		version: s.version,
+		objects: maps.Clone(s.objects),
+	}
+}
+
+// restore replaces the content by that of a copy, in a new era.
+func (s *modelStore) restore(from *modelStore) {
+	s.version.Era++
+	s.version.Number = from.version.Number
+	s.objects = map[objectKey]storer.Object{}
+	for key, o := range from.objects {
+		o.Era = s.version.Era
+		s.objects[key] = o
+	}
+}
+
 // list lets an instance list one kind, as its watcher does.
 func (s *modelStore) list(c *Coordinator, kind storer.Kind) {
 	now := time.Unix(1_000, 0)
@@ -50,6 +71,7 @@
 	}
 	for name, o := range c.objects[kind] {
 		if _, found := s.objects[objectKey{kind, name}]; !found {
+			o.Version = versioner.Latest(o.Version, s.version)
 			c.applyChange(now, storer.Event{Type: storer.EventDelete, Object: o})
 		}
 	}
@@ -83,7 +105,7 @@
 	}
 	for key, o := range s.objects {
 		if got := c.objects[key.kind][key.name]; got.Version != o.Version {
-			t.Errorf("%s %s is known with version %d, the store has %d", key.kind, key.name, got.Version, o.Version)
+			t.Errorf("%s %s is known with version %+v, the store has %+v", key.kind, key.name, got.Version, o.Version)
 		}
 	}
 }
@@ -113,6 +135,18 @@
 // Guards against objects that an instance loses or keeps for good after partial reads, snapshots of leaders that know less or more than
 // itself, and changes in between.
 func TestInstancesEndWithWhatTheStoreHolds(t *testing.T) {
+	checkInstancesEndWithStore(t, 5)
+}
+
+// Guards against the same where the store is restored from copies (review/11): instances kept what they knew, since its version was above
+// that of what the restored store held.
+func TestInstancesEndWithWhatTheRestoredStoreHolds(t *testing.T) {
+	checkInstancesEndWithStore(t, 7)
+}
+
+// checkInstancesEndWithStore draws from the given number of actions, of which the last two keep and restore a copy of the store.
+func checkInstancesEndWithStore(t *testing.T, actions int) {
+	t.Helper()
 	options := startInstance(t, newStore(), 0).options
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -120,15 +154,21 @@
 		fleet := []*Coordinator{New(options), New(options), New(options), New(options)}
 		kind := func() storer.Kind { return modelKinds[random.IntN(len(modelKinds))] }
 		one := func() *Coordinator { return fleet[random.IntN(len(fleet))] }
+		kept := store.copy()
 		for range 60 {
 			name := fmt.Sprint("object-", random.IntN(3))
-			switch random.IntN(5) {
+			action := random.IntN(actions)
+			switch action {
 			case 0:
 				store.put(kind(), name)
 			case 1:
 				store.remove(kind(), name)
 			case 2:
 				store.list(one(), kind())
+			case 5:
+				kept = store.copy()
+			case 6:
+				store.restore(kept)
 			default:
 				if leader, follower := one(), one(); leader != follower {
 					sendSnapshotTo(t, leader, follower)
--- a/internal/coordinator/informed_test.go
+++ b/internal/coordinator/informed_test.go
@@ -11,6 +11,7 @@
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // startedAlone returns the coordinator of a leader that feeds others, has just started and knows the rules only, and its clock.
@@ -20,11 +21,11 @@
 	o := startInstance(t, newStore(), 0).options
 	o.Clock = clock
 	c := New(o)
-	c.convener.PointerWritten(clock.now, 1)
+	c.convener.PointerWritten(clock.now, versioner.Of(1))
 	c.members = make([]Member, storeReaders+1)
 	rules, _ := json.Marshal(rulesOf(1))
-	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: rules}})
-	c.handleWatchResult(clock.now, watchResult{kind: kindRules, version: 1})
+	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: versioner.Of(1), Value: rules}})
+	c.handleWatchResult(clock.now, watchResult{kind: kindRules, version: versioner.Of(1)})
 	c.publish()
 	return c, clock
 }
@@ -60,9 +61,9 @@
 		reply := ask(c, clock.now)
 		assertUndecided(t, reply)
 		entry, _ := json.Marshal(cataloguer.Target{ID: "a", Service: "scribe", Slots: 16})
-		c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: 2, Value: entry}})
-		c.handleWatchResult(clock.now, watchResult{kind: kindTargets, version: 2})
-		c.handleWatchResult(clock.now, watchResult{kind: kindEvacuations, version: 2})
+		c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(2), Value: entry}})
+		c.handleWatchResult(clock.now, watchResult{kind: kindTargets, version: versioner.Of(2)})
+		c.handleWatchResult(clock.now, watchResult{kind: kindEvacuations, version: versioner.Of(2)})
 		c.publish()
 		c.decide()
 		if d, ok := (<-reply).(scheduler.Place); !ok {
@@ -102,7 +103,7 @@
 	c, clock := startedAlone(t)
 	c.heard[kindTargets], c.heard[kindEvacuations] = true, true
 	entry, _ := json.Marshal(cataloguer.Target{ID: "a", Service: "scribe", Slots: 1000})
-	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: 2, Value: entry}})
+	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "a", Version: versioner.Of(2), Value: entry}})
 	clock.now = clock.now.Add(announceDelay)
 	c.publish()
 	submit := func(id int, age time.Duration) {
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -9,6 +9,7 @@
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // message is a message to the control goroutine.
@@ -26,7 +27,7 @@
 	kind storer.Kind
 	err  error
 	// version is the version up to which the watcher has seen all changes of the kind.
-	version int64
+	version versioner.Version
 }
 
 // submitRequest asks for the placement of a request.
--- a/internal/coordinator/publish.go
+++ b/internal/coordinator/publish.go
@@ -19,7 +19,10 @@
 		Informed:  c.isInformed(c.options.Clock.Now()),
 		Began:     c.began,
 		StoreLost: c.storeLost(),
+		StoreEra:  c.era,
 		Isolated:  c.isolatedParts(),
+
+		RulesRetained: c.rulesRetained,
 	}
 	view.Instances = c.countInstances(len(view.Members))
 	c.view.Store(view)
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -11,6 +11,7 @@
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 type peerAddress = convener.Peer
@@ -120,12 +121,12 @@
 	object, err := c.options.Store.WithoutRetry(storer.PriorityControl).Get(ctx, c.options.Format.LeaderKind, pointerName)
 	var missing *storer.NotFoundError
 	if errors.As(err, &missing) {
-		object, err = storer.Object{}, nil
+		object, err = absentObject(missing), nil
 	}
 	c.sendPointerResult(object, false, err)
 }
 
-func (c *Coordinator) writePointer(ctx context.Context, version int64, pointer storedPointer) {
+func (c *Coordinator) writePointer(ctx context.Context, version versioner.Version, pointer storedPointer) {
 	ctx, cancel := context.WithTimeout(ctx, pointerTimeout)
 	defer cancel()
 	value, err := json.Marshal(pointer)
@@ -135,17 +136,22 @@
 	}
 	store := c.options.Store.WithoutRetry(storer.PriorityControl)
 	kind := c.options.Format.LeaderKind
-	var written int64
-	if version == 0 {
+	var written versioner.Version
+	if !version.Exists() {
 		written, err = store.Create(ctx, kind, pointerName, value)
 	} else {
 		written, err = store.Update(ctx, kind, pointerName, version, value)
 	}
 	var conflict *storer.ConflictError
-	if errors.As(err, &conflict) {
+	var restored *storer.EraError
+	switch {
+	case errors.As(err, &conflict):
 		// Another instance was first; the error contains the current object.
 		c.sendPointerResult(conflict.Current, false, nil)
 		return
+	case errors.As(err, &restored):
+		c.readPointer(ctx)
+		return
 	}
 	c.sendPointerResult(storer.Object{
 		Version: written,
@@ -162,7 +168,7 @@
 			Version: o.Version,
 		},
 	}
-	if err == nil && o.Version != 0 {
+	if err == nil && o.Exists() {
 		var stored storedPointer
 		m.err = json.Unmarshal(o.Value, &stored)
 		m.pointer.Leader = stored.Peer
@@ -179,6 +185,7 @@
 }
 
 func (c *Coordinator) handlePointerResult(ctx context.Context, now time.Time, m pointerResult) {
+	c.enterEra(now, m.pointer.Version)
 	switch {
 	case m.err != nil:
 		c.perform(ctx, c.convener.StoreUnavailable(now))
@@ -186,7 +193,9 @@
 		c.convener.PointerWritten(now, m.pointer.Version)
 		c.perform(ctx, nil)
 	default:
-		if m.pointer.Leader.Name != c.options.Self.Name {
+		// What a leader knows is newer than the object if that names another one: a restored store names a former leader, and a new one
+		// shares its isolations.
+		if m.pointer.Leader.Name != c.options.Self.Name && c.convener.Role() != convener.Leading {
 			c.addIsolations(m.isolations, "store")
 		}
 		c.perform(ctx, c.convener.PointerRead(now, m.pointer))
@@ -228,6 +237,7 @@
 	c.lostLeader = ""
 	c.convener.Joined(now, m.answer.Self)
 	c.shareIsolations(now, c.leader)
+	c.shareRules(c.leader)
 	c.shareCounts(c.leader)
 	for id, p := range c.placed {
 		message := adoptMessage{
@@ -350,6 +360,7 @@
 	m.answer(answer)
 	if answer.Accepted {
 		c.shareIsolations(now, m.link)
+		c.shareRules(m.link)
 	}
 }
 
@@ -366,6 +377,7 @@
 			c.hearTime(m.link, p.Time)
 			pong := c.storeState
 			pong.Time = c.sentTime()
+			pong.NextWindow = c.nextWindow()
 			m.link.notify(methodPong, pong)
 		})
 	case methodSubmit:
@@ -384,6 +396,8 @@
 				c.options.Log.Error().Err(err).Str("member", m.link.member.Name).Msg("coordinator: failed to decode objects from a store reader")
 			}
 		})
+	case methodRules:
+		return decodeAndHandle(m, c.adoptRules)
 	case methodWithdraw:
 		return decodeAndHandle(m, func(p progressMessage) {
 			delete(c.owners, p.Request)
@@ -426,12 +440,15 @@
 		return decodeAndHandle(m, func(p pongMessage) {
 			c.covered = p.Covered
 			c.hearTime(m.link, p.Time)
+			c.hearNextWindow(p.NextWindow)
 			c.handleLeaderStoreState(now, p.StoreLost)
 		})
 	case methodLeaves:
 		return decodeAndHandle(m, func(p leavesMessage) { c.handleTargetLeaves(p.run(), m.link) })
 	case methodIsolated:
 		return decodeAndHandle(m, func(p isolationsMessage) { c.replaceIsolations(p.isolations(now)) })
+	case methodRules:
+		return decodeAndHandle(m, c.adoptRules)
 	case methodObjects:
 		var objects objectsMessage
 		if err := json.Unmarshal(m.params, &objects); err != nil {
--- a/internal/coordinator/scale_test.go
+++ b/internal/coordinator/scale_test.go
@@ -12,6 +12,7 @@
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // joinedFleet is a leader with links that queue its messages instead of sending them.
@@ -29,13 +30,13 @@
 	o.Clock = clock
 	o.Self.Cores = 0.8
 	leader := New(o)
-	leader.convener.PointerWritten(clock.now, 1)
+	leader.convener.PointerWritten(clock.now, versioner.Of(1))
 	leader.updateRole()
 	rules, _ := json.Marshal(rulesOf(1))
-	leader.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: rules}})
+	leader.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: versioner.Of(1), Value: rules}})
 	for i := range 120 {
 		name := fmt.Sprint("engine-", i)
-		entry := storer.Object{Kind: kindTargets, Name: name, Version: int64(i + 2), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))}
+		entry := storer.Object{Kind: kindTargets, Name: name, Version: versioner.Of(int64(i + 2)), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))}
 		leader.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: entry})
 	}
 	return &joinedFleet{leader: leader, clock: clock}
@@ -196,7 +197,7 @@
 		name := fmt.Sprint("new-", i)
 		f.leader.handleStoreChange(f.clock.now, storer.Event{
 			Type:   storer.EventPut,
-			Object: storer.Object{Kind: kindTargets, Name: name, Version: int64(1000 + i), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))},
+			Object: storer.Object{Kind: kindTargets, Name: name, Version: versioner.Of(int64(1000 + i)), Value: json.RawMessage(fmt.Sprintf("{\"ID\":%q}", name))},
 		})
 		f.leader.publishIfDue()
 		if v := f.leader.View(); v != last {
@@ -221,7 +222,7 @@
 	f := newFleetLeader(t)
 	now := f.clock.now
 	entry, _ := json.Marshal(cataloguer.Target{ID: "engine", Service: "scribe", Slots: 16})
-	f.leader.applyChange(now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "engine", Version: 900, Value: entry}})
+	f.leader.applyChange(now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindTargets, Name: "engine", Version: versioner.Of(900), Value: entry}})
 	f.clock.now = now.Add(announceDelay)
 	f.leader.publish()
 
--- a/internal/coordinator/sizing_test.go
+++ b/internal/coordinator/sizing_test.go
@@ -14,6 +14,7 @@
 	"bergamothollow.example/bergamothollow/pkg/sizer"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // fakeDuties records orders.
@@ -46,16 +47,16 @@
 		Elapsed:        func() time.Duration { return time.Second },
 	}
 	c := New(o)
-	c.convener.PointerWritten(clock.now, 1)
+	c.convener.PointerWritten(clock.now, versioner.Of(1))
 	rules := rulesOf(1)
 	rules.Services[0].Scaling = scaling
 	encoded, _ := json.Marshal(rules)
-	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: 1, Value: encoded}})
+	c.applyChange(clock.now, storer.Event{Type: storer.EventPut, Object: storer.Object{Kind: kindRules, Name: "main", Version: versioner.Of(1), Value: encoded}})
 	for i, id := range []string{"a", "b"} {
 		entry, _ := json.Marshal(cataloguer.Target{ID: namer.Target(id), Service: "scribe", Slots: 16, DataCentre: "pier"})
 		c.applyChange(clock.now, storer.Event{
 			Type:   storer.EventPut,
-			Object: storer.Object{Kind: kindTargets, Name: id, Version: int64(2 + i), Value: entry},
+			Object: storer.Object{Kind: kindTargets, Name: id, Version: versioner.Of(int64(2 + i)), Value: entry},
 		})
 	}
 	c.publish()
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -28,6 +28,8 @@
 	methodIsolated = "isolated"
 	methodLeaves   = "leaves"
 	methodCounts   = "counts"
+	// methodRules carries rules in force that are newer than those of the store.
+	methodRules = "rules"
 )
 
 // joinRequest asks the leader to accept the sender as a follower.
@@ -62,6 +64,8 @@
 	Covered bool `json:"covered,omitempty"`
 	// Time is the leader's time in Unix milliseconds, 0 unless usage is counted.
 	Time int64 `json:"time,omitempty"`
+	// NextWindow is the first window whose count isn't final, 0 unless usage is counted.
+	NextWindow int64 `json:"next_window,omitempty"`
 }
 
 // objectsMessage carries objects of the store between a leader and its followers.
@@ -71,6 +75,8 @@
 	// Complete holds, for the kinds that the sender has listed, the version of the store up to which the message has all objects. An
 	// object of such a version that it lacks no longer exists; nothing is known of other objects that it lacks.
 	Complete map[storer.Kind]int64 `json:"complete,omitempty"`
+	// Eras holds the eras of these versions, if the store states any.
+	Eras map[storer.Kind]int64 `json:"eras,omitempty"`
 	// Events are gzip-compressed JSON, since rules repeat the same strings in each route.
 	Events []byte `json:"events"`
 }
--- a/internal/emulator/keeper/keeper.go
+++ b/internal/emulator/keeper/keeper.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // errFault is the cause of every injected failure.
@@ -68,7 +69,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.set(kind, name, encoded)
+	return k.set(kind, name, encoded).Number
 }
 
 // Get reads one object.
@@ -89,25 +90,25 @@
 }
 
 // Create writes the value if no object has the name, and returns its version.
-func (k *Keeper) Create(_ context.Context, kind storer.Kind, name string, value json.RawMessage) (int64, error) {
-	return k.write(kind, name, 0, func() int64 {
+func (k *Keeper) Create(_ context.Context, kind storer.Kind, name string, value json.RawMessage) (versioner.Version, error) {
+	return k.write(kind, name, versioner.Version{}, func() versioner.Version {
 		return k.set(kind, name, value)
 	})
 }
 
 // Update writes the value if the object still has the version, and returns the new version.
-func (k *Keeper) Update(_ context.Context, kind storer.Kind, name string, version int64, value json.RawMessage) (int64, error) {
-	return k.write(kind, name, version, func() int64 {
+func (k *Keeper) Update(_ context.Context, kind storer.Kind, name string, version versioner.Version, value json.RawMessage) (versioner.Version, error) {
+	return k.write(kind, name, version, func() versioner.Version {
 		return k.set(kind, name, value)
 	})
 }
 
 // Delete removes the object if it still has the version.
-func (k *Keeper) Delete(_ context.Context, kind storer.Kind, name string, version int64) error {
-	_, err := k.write(kind, name, version, func() int64 {
+func (k *Keeper) Delete(_ context.Context, kind storer.Kind, name string, version versioner.Version) error {
+	_, err := k.write(kind, name, version, func() versioner.Version {
 		delete(k.objects, key{kind, name})
 		k.version++
-		return k.version
+		return versioner.Of(k.version)
 	})
 	return err
 }
@@ -120,7 +121,7 @@
 		return storer.Listing{}, unavailable()
 	}
 	listing := storer.Listing{
-		Version: k.version,
+		Version: versioner.Of(k.version),
 	}
 	for _, name := range k.names(kind) {
 		if strings.HasPrefix(name, prefix) && name > after && len(listing.Items) < limit {
@@ -131,7 +132,7 @@
 }
 
 // Watch is not supported.
-func (k *Keeper) Watch(context.Context, storer.Kind, int64, time.Duration) (storer.Changes, error) {
+func (k *Keeper) Watch(context.Context, storer.Kind, versioner.Version, time.Duration) (storer.Changes, error) {
 	return storer.Changes{}, errors.ErrUnsupported
 }
 
@@ -151,26 +152,26 @@
 	return names
 }
 
-func (k *Keeper) set(kind storer.Kind, name string, value json.RawMessage) int64 {
+func (k *Keeper) set(kind storer.Kind, name string, value json.RawMessage) versioner.Version {
 	k.version++
 	k.objects[key{kind, name}] = storer.Object{
 		Kind:    kind,
 		Name:    name,
-		Version: k.version,
+		Version: versioner.Of(k.version),
 		Value:   slices.Clone(value),
 	}
-	return k.version
+	return versioner.Of(k.version)
 }
 
-func (k *Keeper) write(kind storer.Kind, name string, version int64, apply func() int64) (int64, error) {
+func (k *Keeper) write(kind storer.Kind, name string, version versioner.Version, apply func() versioner.Version) (versioner.Version, error) {
 	k.runBeforeWrite()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err := k.faultBeforeWrite(); err != nil {
-		return 0, err
+		return versioner.Version{}, err
 	}
 	if current := k.objects[key{kind, name}]; current.Version != version {
-		return 0, &storer.ConflictError{
+		return versioner.Version{}, &storer.ConflictError{
 			Kind:    kind,
 			Name:    name,
 			Current: current,
--- a/internal/emulator/platform/platform_test.go
+++ b/internal/emulator/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // start serves a platform and returns it with a client of package storer.
@@ -37,9 +38,9 @@
 	return p, client
 }
 
-func assertVersion(t *testing.T, got int64, err error, want int64) {
+func assertVersion(t *testing.T, got versioner.Version, err error, want int64) {
 	t.Helper()
-	if err != nil || got != want {
+	if err != nil || got != versioner.Of(want) {
 		t.Fatalf("got version %d, error %v; want version %d", got, err, want)
 	}
 }
@@ -67,16 +68,16 @@
 		version, err := client.Create(ctx, storer.KindCell, "c/1", value)
 		assertVersion(t, version, err, 1)
 		_, err = client.Create(ctx, storer.KindCell, "c/1", value)
-		if conflict := assertError[*storer.ConflictError](t, err); conflict.Current.Version != 1 {
-			t.Fatalf("conflict carries version %d, want 1", conflict.Current.Version)
+		if conflict := assertError[*storer.ConflictError](t, err); conflict.Current.Number != 1 {
+			t.Fatalf("conflict carries version %d, want 1", conflict.Current.Number)
 		}
-		version, err = client.Update(ctx, storer.KindCell, "c/1", 1, value)
+		version, err = client.Update(ctx, storer.KindCell, "c/1", versioner.Of(1), value)
 		assertVersion(t, version, err, 2)
-		_, err = client.Update(ctx, storer.KindCell, "c/1", 1, value)
+		_, err = client.Update(ctx, storer.KindCell, "c/1", versioner.Of(1), value)
 		assertError[*storer.ConflictError](t, err)
-		_, err = client.Update(ctx, storer.KindCell, "missing", 7, value)
+		_, err = client.Update(ctx, storer.KindCell, "missing", versioner.Of(7), value)
 		assertError[*storer.ConflictError](t, err)
-		if err = client.Delete(ctx, storer.KindCell, "c/1", 2); err != nil {
+		if err = client.Delete(ctx, storer.KindCell, "c/1", versioner.Of(2)); err != nil {
 			t.Fatal(err)
 		}
 		_, err = client.Get(ctx, storer.KindCell, "c/1")
@@ -108,22 +109,22 @@
 		go func() {
 			_, _ = client.Create(ctx, storer.KindMember, "m", value)
 			_, _ = client.Create(ctx, storer.KindCell, "c", value)
-			_ = client.Delete(ctx, storer.KindCell, "c", 2)
+			_ = client.Delete(ctx, storer.KindCell, "c", versioner.Of(2))
 		}()
-		changes, err := client.Watch(ctx, storer.KindCell, 0, 5*time.Second)
+		changes, err := client.Watch(ctx, storer.KindCell, versioner.Of(0), 5*time.Second)
 		if err != nil || len(changes.Events) == 0 || changes.Events[0].Object.Name != "c" {
 			t.Fatalf("got %+v, %v", changes, err)
 		}
-		changes, err = client.Watch(ctx, storer.KindCell, 2, 5*time.Second)
+		changes, err = client.Watch(ctx, storer.KindCell, versioner.Of(2), 5*time.Second)
 		if err != nil || len(changes.Events) != 1 || changes.Events[0].Type != storer.EventDelete {
 			t.Fatalf("got %+v, %v", changes, err)
 		}
-		changes, err = client.Watch(ctx, storer.KindCell, 3, 10*time.Millisecond)
-		if err != nil || len(changes.Events) != 0 || changes.Version != 3 {
+		changes, err = client.Watch(ctx, storer.KindCell, versioner.Of(3), 10*time.Millisecond)
+		if err != nil || len(changes.Events) != 0 || changes.Number != 3 {
 			t.Fatalf("got %+v, %v", changes, err)
 		}
 		p.store.Compact()
-		_, err = client.Watch(ctx, storer.KindCell, 2, time.Second)
+		_, err = client.Watch(ctx, storer.KindCell, versioner.Of(2), time.Second)
 		assertError[*storer.CompactedError](t, err)
 	})
 
@@ -134,7 +135,7 @@
 			_, _ = client.Create(ctx, storer.KindTarget, name, value)
 		}
 		listing, err := client.List(ctx, storer.KindTarget, "a", "a1", 1)
-		if err != nil || len(listing.Items) != 1 || listing.Items[0].Name != "a2" || listing.Version != 4 {
+		if err != nil || len(listing.Items) != 1 || listing.Items[0].Name != "a2" || listing.Number != 4 {
 			t.Fatalf("got %+v, %v", listing, err)
 		}
 	})
--- a/internal/emulator/platform/server.go
+++ b/internal/emulator/platform/server.go
@@ -303,7 +303,7 @@
 	switch {
 	case errors.As(err, &missing):
 		runner.RespondError(c, http.StatusNotFound, err.Error())
-	case errors.As(err, &conflict) && conflict.Current.Version == 0:
+	case errors.As(err, &conflict) && !conflict.Current.Exists():
 		c.Status(http.StatusPreconditionFailed)
 	case errors.As(err, &conflict):
 		runner.Respond(c, http.StatusPreconditionFailed, conflict.Current)
--- a/internal/emulator/platform/store.go
+++ b/internal/emulator/platform/store.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"bergamothollow.example/bergamothollow/pkg/storer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const (
@@ -59,7 +60,7 @@
 	object := storer.Object{
 		Kind:    kind,
 		Name:    name,
-		Version: s.version,
+		Version: versioner.Of(s.version),
 		Value:   value,
 	}
 	if s.objects[kind] == nil {
@@ -86,7 +87,7 @@
 	}
 	delete(s.objects[kind], name)
 	s.version++
-	object.Version = s.version
+	object.Version = versioner.Of(s.version)
 	s.appendEvent(storer.EventDelete, object)
 	return s.version, nil
 }
@@ -109,7 +110,7 @@
 	}
 	return storer.Listing{
 		Items:   items,
-		Version: s.version,
+		Version: versioner.Of(s.version),
 	}
 }
 
@@ -120,12 +121,12 @@
 	// A version above the current one was read before the emulator restarted with an empty store.
 	if after < s.compacted || after > s.version {
 		return storer.Changes{}, nil, &storer.CompactedError{
-			After: after,
+			After: versioner.Of(after),
 		}
 	}
 	events := []storer.Event{}
 	first, _ := slices.BinarySearchFunc(s.history, after+1, func(e storer.Event, version int64) int {
-		return int(e.Object.Version - version)
+		return int(e.Object.Number - version)
 	})
 	for _, event := range s.history[first:] {
 		if event.Object.Kind == kind {
@@ -134,7 +135,7 @@
 	}
 	return storer.Changes{
 		Events:  events,
-		Version: s.version,
+		Version: versioner.Of(s.version),
 	}, s.changed, nil
 }
 
@@ -157,7 +158,7 @@
 
 func (s *Store) checkVersion(kind storer.Kind, name string, version int64) error {
 	current := s.objects[kind][name] // the zero object has version 0
-	if current.Version == version {
+	if current.Version == versioner.Of(version) {
 		return nil
 	}
 	return &storer.ConflictError{
@@ -174,7 +175,7 @@
 	})
 	s.historyBytes += len(object.Value)
 	for len(s.history) > maxHistoryEvents || s.historyBytes > maxHistoryBytes {
-		s.compacted = s.history[0].Object.Version
+		s.compacted = s.history[0].Object.Number
 		s.historyBytes -= len(s.history[0].Object.Value)
 		s.history = s.history[1:]
 	}
--- a/internal/factory/factory.go
+++ b/internal/factory/factory.go
@@ -161,7 +161,7 @@
 func Decode[V any](object storer.Object) (Entry[V], error) {
 	entry := Entry[V]{
 		Name:    object.Name,
-		Version: object.Version,
+		Version: object.Number,
 	}
 	if err := json.Unmarshal(object.Value, &entry.Value); err != nil {
 		return Entry[V]{}, &ValueError{
--- a/internal/receiver/fixture_test.go
+++ b/internal/receiver/fixture_test.go
@@ -33,6 +33,7 @@
 	"bergamothollow.example/bergamothollow/pkg/scheduler"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // names are header names for these tests, which must not depend on those of a platform.
@@ -211,7 +212,7 @@
 const relistInterval = 20 * time.Millisecond
 
 // Watch fails with a CompactedError.
-func (s relistedStore) Watch(ctx context.Context, _ storer.Kind, version int64, _ time.Duration) (storer.Changes, error) {
+func (s relistedStore) Watch(ctx context.Context, _ storer.Kind, version versioner.Version, _ time.Duration) (storer.Changes, error) {
 	select {
 	case <-ctx.Done():
 		return storer.Changes{}, ctx.Err()
--- a/internal/withdrawer/withdrawer.go
+++ b/internal/withdrawer/withdrawer.go
@@ -13,6 +13,7 @@
 	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/tracker"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // AnyVersion is the IfVersion of a Request that accepts whatever version Run reads.
@@ -151,7 +152,7 @@
 		Kind: storer.KindDeparture,
 		Name: storer.CurrentName,
 		Current: storer.Object{
-			Version: current.Version,
+			Version: versioner.Of(current.Version),
 		},
 		By:   current.Value.ChangedBy,
 		Next: "look at `bergamothollow status`, then run the command again with the new version",
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -48,7 +48,11 @@
 	// removeAt holds, for targets whose entries vanished around an outage, when they are removed.
 	removeAt map[namer.Target]time.Time
 	// leaving holds the start of runs that have said themselves that they leave, which older entries don't show.
-	leaving        map[namer.Target]time.Time
+	leaving map[namer.Target]time.Time
+	// endAt holds, for evacuations that a restored store lacks, when they end.
+	endAt map[namer.DataCentre]time.Time
+	// doubtedUntil holds, for targets that a restored store lists though they had been removed, until when they receive no new work.
+	doubtedUntil   map[namer.Target]time.Time
 	storeDown      bool
 	storeRecovered time.Time
 }
@@ -61,6 +65,9 @@
 		evacuated: map[namer.DataCentre]bool{},
 		removeAt:  map[namer.Target]time.Time{},
 		leaving:   map[namer.Target]time.Time{},
+
+		endAt:        map[namer.DataCentre]time.Time{},
+		doubtedUntil: map[namer.Target]time.Time{},
 	}
 }
 
@@ -71,6 +78,29 @@
 	}
 	c.targets[t.ID] = t
 	delete(c.removeAt, t.ID)
+	delete(c.doubtedUntil, t.ID)
+}
+
+// Doubt withholds new work from a listed target that had been removed before the store was restored, until its entry is written again or
+// would have expired.
+func (c *Cataloguer) Doubt(now time.Time, id namer.Target) {
+	if _, listed := c.targets[id]; listed {
+		c.doubtedUntil[id] = now.Add(c.settings.ReregistrationTime)
+	}
+}
+
+// StoreRestored records that the store was restored from a copy. Live targets that the copy lacks register again; runs that were leaving
+// go on to leave, even if the copy shows them as they were before.
+func (c *Cataloguer) StoreRestored(now time.Time) {
+	c.storeRecovered = now
+	for id := range c.removeAt {
+		c.removeAt[id] = now.Add(c.settings.ReregistrationTime)
+	}
+	for id, t := range c.targets {
+		if t.Leaving {
+			c.MarkLeaving(id, t.Started)
+		}
+	}
 }
 
 // maxLeaving limits the runs that are remembered as leaving by their own word; all are forgotten beyond that.
@@ -117,8 +147,13 @@
 		c.removeAt[id] = due
 		return
 	}
+	c.forget(id)
+}
+
+func (c *Cataloguer) forget(id namer.Target) {
 	delete(c.targets, id)
 	delete(c.removeAt, id)
+	delete(c.doubtedUntil, id)
 }
 
 // SetStoreAvailable records whether the store is available.
@@ -134,6 +169,7 @@
 
 // Evacuate starts or ends the evacuation of a data centre, whose targets receive no new work meanwhile.
 func (c *Cataloguer) Evacuate(centre namer.DataCentre, out bool) {
+	delete(c.endAt, centre)
 	if out {
 		c.evacuated[centre] = true
 		return
@@ -141,15 +177,36 @@
 	delete(c.evacuated, centre)
 }
 
-// Tick removes targets that have not registered again in time and reports whether there were any.
+// LapseEvacuation ends an evacuation that a restored store lacks, unless it is requested again in time.
+func (c *Cataloguer) LapseEvacuation(now time.Time, centre namer.DataCentre) {
+	if c.evacuated[centre] {
+		c.endAt[centre] = now.Add(c.settings.ReregistrationTime)
+	}
+}
+
+// Tick removes targets that have not registered again in time, ends evacuations that were not requested again, and gives work again to
+// targets whose entries have outlived their doubt. It reports whether anything has changed.
 func (c *Cataloguer) Tick(now time.Time) bool {
 	changed := false
 	for id, due := range c.removeAt {
 		if c.storeDown || now.Before(due) {
 			continue
 		}
-		delete(c.removeAt, id)
-		delete(c.targets, id)
+		c.forget(id)
+		changed = true
+	}
+	for centre, due := range c.endAt {
+		if c.storeDown || now.Before(due) {
+			continue
+		}
+		c.Evacuate(centre, false)
+		changed = true
+	}
+	for id, due := range c.doubtedUntil {
+		if c.storeDown || now.Before(due) {
+			continue
+		}
+		delete(c.doubtedUntil, id)
 		changed = true
 	}
 	return changed
@@ -157,8 +214,14 @@
 
 // Catalogue returns a snapshot of the current state.
 func (c *Cataloguer) Catalogue() *Catalogue {
+	targets := maps.Clone(c.targets)
+	for id := range c.doubtedUntil {
+		t := targets[id]
+		t.Leaving = true
+		targets[id] = t
+	}
 	return &Catalogue{
-		Targets:   maps.Clone(c.targets),
+		Targets:   targets,
 		Evacuated: maps.Clone(c.evacuated),
 	}
 }
--- a/pkg/cataloguer/cataloguer_test.go
+++ b/pkg/cataloguer/cataloguer_test.go
@@ -84,3 +84,65 @@
 	c.Evacuate("pier", false)
 	assertUsable(t, c, "a", true)
 }
+
+// Guards against changes that are undone while a restored store shows its older copy: work for a target that had left or was leaving, none
+// for a live one, and work in an evacuated data centre.
+func TestStoreRestored(t *testing.T) {
+	entry := func(id namer.Target, leaving bool) Target {
+		return Target{
+			ID:         id,
+			DataCentre: "pier",
+			Leaving:    leaving,
+			Started:    start,
+		}
+	}
+	t.Run("a run that was leaving goes on to leave", func(t *testing.T) {
+		c := newFixture()
+		c.Put(entry("a", true))
+		c.StoreRestored(start)
+		c.Put(entry("a", false))
+		assertUsable(t, c, "a", false)
+		next := entry("a", false)
+		next.Started = start.Add(time.Second)
+		c.Put(next)
+		assertUsable(t, c, "a", true)
+	})
+	t.Run("a live target that the copy lacks is kept", func(t *testing.T) {
+		c := newFixture()
+		c.StoreRestored(start)
+		c.Remove(start, "a")
+		assertUsable(t, c, "a", true)
+		c.Tick(start.Add(3 * time.Second))
+		assertUsable(t, c, "a", false)
+	})
+	t.Run("a removed target is used again once it has registered", func(t *testing.T) {
+		c := newFixture()
+		c.StoreRestored(start)
+		c.Doubt(start, "a")
+		assertUsable(t, c, "a", false)
+		c.Put(entry("a", false))
+		assertUsable(t, c, "a", true)
+	})
+	t.Run("a removed target is used again if its entry doesn't expire", func(t *testing.T) {
+		c := newFixture()
+		c.StoreRestored(start)
+		c.Doubt(start, "a")
+		if changed := c.Tick(start.Add(3 * time.Second)); !changed {
+			t.Error("no change reported")
+		}
+		assertUsable(t, c, "a", true)
+	})
+	t.Run("an evacuation that the copy lacks is kept until it can be written again", func(t *testing.T) {
+		c := newFixture()
+		c.Evacuate("pier", true)
+		c.StoreRestored(start)
+		c.LapseEvacuation(start, "pier")
+		assertUsable(t, c, "a", false)
+		c.Evacuate("pier", true)
+		c.Tick(start.Add(3 * time.Second))
+		assertUsable(t, c, "a", false)
+		c.LapseEvacuation(start, "pier")
+		c.Tick(start.Add(3 * time.Second))
+		assertUsable(t, c, "a", true)
+	})
+}
--- a/pkg/convener/convener.go
+++ b/pkg/convener/convener.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // Settings are the tuning parameters of the leader election.
@@ -87,10 +89,10 @@
 // ReadPointer reads the pointer object; the caller must report PointerRead or StoreUnavailable.
 type ReadPointer struct{}
 
-// WritePointer names this instance as leader if the pointer still has the given version (0: if it doesn't exist); the caller
+// WritePointer names this instance as leader if the pointer still has the given version, or still doesn't exist; the caller
 // must report PointerWritten, PointerRead or StoreUnavailable.
 type WritePointer struct {
-	Version int64
+	Version versioner.Version
 }
 
 // Join asks a peer to accept this instance as a follower; the caller must report Joined, Redirected or JoinFailed.
@@ -110,10 +112,10 @@
 func (Ping) action()         {}
 func (Leave) action()        {}
 
-// Pointer is the content of the object that names the leader; version 0 means that it doesn't exist.
+// Pointer is the content of the object that names the leader, and its version.
 type Pointer struct {
 	Leader  Peer
-	Version int64
+	Version versioner.Version
 }
 
 // Convener is the election state machine of one instance.
@@ -126,6 +128,8 @@
 	role    Role
 	leader  Peer
 	pointer Pointer
+	// leads is the last version of the pointer that named this instance.
+	leads versioner.Version
 	// actionPending is set while a ReadPointer, WritePointer or Join action is in progress.
 	actionPending bool
 	// nextStep is when the search continues, or when a leader next checks the pointer.
@@ -323,7 +327,8 @@
 	c.actionPending = false
 	c.pointer = pointer
 	switch {
-	case pointer.Version != 0 && pointer.Leader.Name == c.self.Name:
+	case pointer.Version.Exists() && pointer.Leader.Name == c.self.Name:
+		c.leads = pointer.Version
 		c.startLeading(now)
 		return nil
 	case pointer.Leader.Address == c.self.Address:
@@ -331,11 +336,14 @@
 		c.claimNext = true
 		c.nextStep = now
 		return c.Tick(now)
-	case pointer.Version == 0 || c.isUnreachable(now, pointer.Leader):
+	case !pointer.Version.Exists() || c.isUnreachable(now, pointer.Leader):
 		// There is no leader, or it is unreachable.
 		c.claimNext = true
 		c.nextStep = now.Add(c.claimDelay())
 		return c.Tick(now)
+	case c.role == Leading && c.leads.Exists() && pointer.Version.Era > c.leads.Era:
+		// A restored store may name a former leader; this instance goes on to lead unless that one still does.
+		return c.join(pointer.Leader)
 	default:
 		c.role = Searching
 		return c.join(pointer.Leader)
@@ -360,11 +368,12 @@
 }
 
 // PointerWritten records that the store now names this instance as leader.
-func (c *Convener) PointerWritten(now time.Time, version int64) {
+func (c *Convener) PointerWritten(now time.Time, version versioner.Version) {
 	c.pointer = Pointer{
 		Leader:  c.self,
 		Version: version,
 	}
+	c.leads = version
 	c.startLeading(now)
 }
 
--- a/pkg/convener/model_test.go
+++ b/pkg/convener/model_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // cluster simulates the store and the connections between conveners; a call takes one step of time.
@@ -152,8 +154,9 @@
 		}
 		w.pointer = Pointer{
 			Leader:  n.self,
-			Version: w.pointer.Version + 1,
+			Version: w.pointer.Version,
 		}
+		w.pointer.Version.Number++
 		n.PointerWritten(w.now, w.pointer.Version)
 	case Join:
 		other := w.find(a.Peer)
@@ -373,3 +376,42 @@
 	w.run(time.Second)
 	w.assertOneLeader(t)
 }
+
+// Guards against a gap in the leadership, or two leaders, after the store was restored from a copy that names a former leader or none.
+func TestRestoredPointer(t *testing.T) {
+	for _, name := range []string{"a former leader", "none"} {
+		t.Run(name, func(t *testing.T) {
+			w := newCluster(5)
+			w.run(5 * time.Second)
+			leader := w.nodes[0]
+			for _, n := range w.nodes {
+				if n.Role() == Leading {
+					leader = n
+				}
+			}
+			w.pointer = Pointer{Version: versioner.Version{Era: 2}}
+			if name != "none" {
+				w.pointer.Version.Number = 1
+				w.pointer.Leader = w.nodes[4].self
+				if leader == w.nodes[4] {
+					w.pointer.Leader = w.nodes[3].self
+				}
+			}
+			leader.CheckNow(w.now)
+			for range 1000 {
+				w.run(step)
+				if leader.Role() != Leading {
+					t.Fatalf("the leader is %s", leader.Role())
+				}
+			}
+			for _, n := range w.nodes {
+				if n != leader && n.Leader() != leader.self {
+					t.Errorf("%s follows %q", n.self.Name, n.Leader().Name)
+				}
+			}
+			if w.pointer.Leader != leader.self {
+				t.Errorf("the store names %q", w.pointer.Leader.Name)
+			}
+		})
+	}
+}
--- a/pkg/storer/cache.go
+++ b/pkg/storer/cache.go
@@ -3,12 +3,14 @@
 import (
 	"maps"
 	"slices"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // cache is a copy of the objects of one kind. Each change replaces the map, so that readers can keep the old one.
 type cache struct {
 	objects map[string]Object
-	version int64
+	version versioner.Version
 }
 
 // relist replaces the content and returns the events that turn the old content into the new.
@@ -26,9 +28,11 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.objects)) {
 		if _, exists := next[name]; !exists {
+			gone := c.objects[name]
+			gone.Version = versioner.Latest(gone.Version, l.Version)
 			events = append(events, Event{
 				Type:   EventDelete,
-				Object: c.objects[name],
+				Object: gone,
 			})
 		}
 	}
@@ -48,9 +52,9 @@
 	for _, e := range changes.Events {
 		cached, exists := next[e.Object.Name]
 		switch {
-		case e.Type == EventPut && (!exists || e.Object.Version > cached.Version):
+		case e.Type == EventPut && (!exists || e.Object.After(cached.Version)):
 			next[e.Object.Name] = e.Object
-		case e.Type == EventDelete && exists && e.Object.Version >= cached.Version:
+		case e.Type == EventDelete && exists && !cached.After(e.Object.Version):
 			delete(next, e.Object.Name)
 		default:
 			continue
@@ -58,6 +62,6 @@
 		applied = append(applied, e)
 	}
 	c.objects = next
-	c.version = max(c.version, changes.Version)
+	c.version = versioner.Latest(c.version, changes.Version)
 	return applied
 }
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -11,6 +11,7 @@
 
 	"bergamothollow.example/bergamothollow/pkg/limiter"
 	"bergamothollow.example/bergamothollow/pkg/timer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // Priority decides which calls may use the last part of the call budget.
@@ -155,14 +156,14 @@
 
 // Create writes the value if no object has the name. After a lost response isOwnWrite tells whether the stored value is
 // this write.
-func (c *Client) Create(ctx context.Context, priority Priority, kind Kind, name string, value json.RawMessage, isOwnWrite IsOwnWrite) (int64, error) {
+func (c *Client) Create(ctx context.Context, priority Priority, kind Kind, name string, value json.RawMessage, isOwnWrite IsOwnWrite) (versioner.Version, error) {
 	store := c.WithoutRetry(priority)
 	w := write{
 		client: c,
 		store:  store,
 		kind:   kind,
 		name:   name,
-		send: func() (int64, error) {
+		send: func() (versioner.Version, error) {
 			return store.Create(ctx, kind, name, value)
 		},
 		isOwnWrite: isOwnWrite,
@@ -172,7 +173,7 @@
 
 // Update writes the value if the object still has the version. After a lost response isOwnWrite tells whether the stored
 // value is this write.
-func (c *Client) Update(ctx context.Context, priority Priority, kind Kind, name string, version int64, value json.RawMessage, isOwnWrite IsOwnWrite) (int64, error) {
+func (c *Client) Update(ctx context.Context, priority Priority, kind Kind, name string, version versioner.Version, value json.RawMessage, isOwnWrite IsOwnWrite) (versioner.Version, error) {
 	store := c.WithoutRetry(priority)
 	w := write{
 		client:          c,
@@ -180,7 +181,7 @@
 		kind:            kind,
 		name:            name,
 		expectedVersion: version,
-		send: func() (int64, error) {
+		send: func() (versioner.Version, error) {
 			return store.Update(ctx, kind, name, version, value)
 		},
 		isOwnWrite: isOwnWrite,
@@ -189,7 +190,7 @@
 }
 
 // Delete removes the object if it still has the version; it succeeds if the object does not exist.
-func (c *Client) Delete(ctx context.Context, priority Priority, kind Kind, name string, version int64) error {
+func (c *Client) Delete(ctx context.Context, priority Priority, kind Kind, name string, version versioner.Version) error {
 	store := c.WithoutRetry(priority)
 	w := write{
 		client:          c,
@@ -198,8 +199,8 @@
 		name:            name,
 		expectedVersion: version,
 		isDelete:        true,
-		send: func() (int64, error) {
-			return 0, store.Delete(ctx, kind, name, version)
+		send: func() (versioner.Version, error) {
+			return versioner.Version{}, store.Delete(ctx, kind, name, version)
 		},
 	}
 	_, err := w.run(ctx)
@@ -211,16 +212,21 @@
 func (c *Client) ListAll(ctx context.Context, priority Priority, kind Kind, prefix string) (Listing, error) {
 	var all Listing
 	after := ""
-	for first := true; ; first = false {
+	for {
 		page, err := retryRead(ctx, c, func() (Listing, error) {
 			return c.WithoutRetry(priority).List(ctx, kind, prefix, after, c.settings.ListPage)
 		})
 		if err != nil {
 			return Listing{}, err
 		}
-		if first {
+		if after == "" {
 			all.Version = page.Version
 		}
+		if page.Era != all.Era {
+			// The store was restored between two pages.
+			all, after = Listing{}, ""
+			continue
+		}
 		all.Items = append(all.Items, page.Items...)
 		if len(page.Items) < c.settings.ListPage {
 			return all, nil
@@ -230,7 +236,7 @@
 }
 
 // Watch waits for changes of a kind after a version. It is not retried; Watcher does that.
-func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+func (c *Client) Watch(ctx context.Context, kind Kind, after versioner.Version, wait time.Duration) (Changes, error) {
 	return c.WithoutRetry(PriorityControl).Watch(ctx, kind, after, wait)
 }
 
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -13,6 +13,7 @@
 
 	"bergamothollow.example/bergamothollow/internal/schedule"
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 func newTestClient(store Store, clock *skipClock) *Client {
@@ -38,7 +39,7 @@
 	store := newFaultyStore(clock)
 	client := newTestClient(store, clock)
 	store.outcome = func() outcome { return outcome(draw("fate", int(outcomeCount))) }
-	version := int64(0)
+	version := versioner.Version{}
 	for number := int64(1); number <= 6; number++ {
 		stamp, value := newStamp("pier-1", number)
 		isOwnWrite := OwnWriteByStamp(stamp)
@@ -55,12 +56,12 @@
 	return nil
 }
 
-func checkOutcome(s *faultyStore, before, written int64, value json.RawMessage, err error) error {
+func checkOutcome(s *faultyStore, before, written versioner.Version, value json.RawMessage, err error) error {
 	var unresolved *UnresolvedError
-	stored := s.version > before
+	stored := s.version.After(before)
 	switch {
-	case s.version > before+1:
-		return fmt.Errorf("%s was written %d times", value, s.version-before)
+	case s.version.Number > before.Number+1:
+		return fmt.Errorf("%s was written %d times", value, s.version.Number-before.Number)
 	case err == nil && (!stored || written != s.version):
 		return fmt.Errorf("%s was confirmed at version %d but is not stored at it", value, written)
 	case err != nil && stored && !errors.As(err, &unresolved):
@@ -77,14 +78,36 @@
 
 // Guards against a cache that differs from the store after compaction, outages and changes between pages.
 func TestWatcherFollowsStore(t *testing.T) {
-	schedule.Check(t, 3000, func(draw schedule.Draw) error { return checkWatcher(draw, false) })
+	schedule.Check(t, 3000, func(draw schedule.Draw) error { return checkWatcher(draw, watcherVariant{}) })
+}
+
+// Guards against a cache that keeps what a restored store lacks, or misses what it holds: its revisions go back and are given out again.
+func TestWatcherFollowsRestoredStore(t *testing.T) {
+	schedule.Check(t, 3000, func(draw schedule.Draw) error { return checkWatcher(draw, watcherVariant{restored: true}) })
+}
+
+// Guards against removals that are ignored since they have the version of the object as it was known: others may know a later one, which a
+// restored store has lost.
+func TestRemovalIsAsRecentAsItsList(t *testing.T) {
+	known := Object{Name: "a", Version: versioner.Version{Era: 1, Number: 9}}
+	c := cache{objects: map[string]Object{"a": known}, version: known.Version}
+	list := versioner.Version{Era: 2, Number: 4}
+	events := c.relist(Listing{Version: list})
+	if len(events) != 1 || events[0].Type != EventDelete || events[0].Object.Version != list {
+		t.Errorf("got %+v, want a removal at %+v", events, list)
+	}
 }
 
 // Guards against checks that pass for any implementation: they must fail when a mechanism is left out.
 func TestVariantsAreCaught(t *testing.T) {
 	schedule.RequireFailures(t, 2000, map[string]func(schedule.Draw) error{
 		"no check for own writes": func(draw schedule.Draw) error { return checkSingleWriter(draw, false) },
-		"gaps are not reported":   func(draw schedule.Draw) error { return checkWatcher(draw, true) },
+		"gaps are not reported": func(draw schedule.Draw) error {
+			return checkWatcher(draw, watcherVariant{hideCompaction: true})
+		},
+		"the era isn't stated": func(draw schedule.Draw) error {
+			return checkWatcher(draw, watcherVariant{restored: true, hideEra: true})
+		},
 	})
 }
 
@@ -175,7 +198,7 @@
 	waits []time.Duration
 }
 
-func (s *idleStore) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+func (s *idleStore) Watch(ctx context.Context, kind Kind, after versioner.Version, wait time.Duration) (Changes, error) {
 	s.waits = append(s.waits, wait)
 	if len(s.waits) == 1 {
 		return Changes{}, &UnavailableError{Sent: true, Cause: errLost}
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // watchTimeoutMargin is the time beyond the wait of a watch after which its call counts as failed.
@@ -43,24 +45,24 @@
 }
 
 // Create writes the value if no object has the name.
-func (h *HTTP) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error) {
+func (h *HTTP) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (versioner.Version, error) {
 	return h.put(ctx, kind, name, "If-None-Match", "*", value)
 }
 
 // Update writes the value if the object still has the version.
-func (h *HTTP) Update(ctx context.Context, kind Kind, name string, version int64, value json.RawMessage) (int64, error) {
-	return h.put(ctx, kind, name, "If-Match", strconv.FormatInt(version, 10), value)
+func (h *HTTP) Update(ctx context.Context, kind Kind, name string, version versioner.Version, value json.RawMessage) (versioner.Version, error) {
+	return h.put(ctx, kind, name, "If-Match", strconv.FormatInt(version.Number, 10), value)
 }
 
 // Delete removes the object if it still has the version.
-func (h *HTTP) Delete(ctx context.Context, kind Kind, name string, version int64) error {
+func (h *HTTP) Delete(ctx context.Context, kind Kind, name string, version versioner.Version) error {
 	return h.call(ctx, call{
 		method:         http.MethodDelete,
 		path:           objectPath(kind, name),
 		kind:           kind,
 		name:           name,
 		condition:      "If-Match",
-		conditionValue: strconv.FormatInt(version, 10),
+		conditionValue: strconv.FormatInt(version.Number, 10),
 	}, nil)
 }
 
@@ -80,9 +82,9 @@
 }
 
 // Watch waits for changes of a kind after a version.
-func (h *HTTP) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+func (h *HTTP) Watch(ctx context.Context, kind Kind, after versioner.Version, wait time.Duration) (Changes, error) {
 	query := url.Values{}
-	query.Set("after", strconv.FormatInt(after, 10))
+	query.Set("after", strconv.FormatInt(after.Number, 10))
 	query.Set("timeout_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	var changes Changes
 	err := h.call(ctx, call{
@@ -113,17 +115,15 @@
 	path           string
 	kind           Kind
 	name           string
-	after          int64
+	after          versioner.Version
 	condition      string
 	conditionValue string
 	body           json.RawMessage
 	timeout        time.Duration
 }
 
-func (h *HTTP) put(ctx context.Context, kind Kind, name, condition, value string, body json.RawMessage) (int64, error) {
-	var result struct {
-		Version int64 `json:"version"`
-	}
+func (h *HTTP) put(ctx context.Context, kind Kind, name, condition, value string, body json.RawMessage) (versioner.Version, error) {
+	var version versioner.Version
 	err := h.call(ctx, call{
 		method:         http.MethodPut,
 		path:           objectPath(kind, name),
@@ -132,8 +132,8 @@
 		condition:      condition,
 		conditionValue: value,
 		body:           body,
-	}, &result)
-	return result.Version, err
+	}, &version)
+	return version, err
 }
 
 func (h *HTTP) call(ctx context.Context, c call, result any) error {
--- a/pkg/storer/model_test.go
+++ b/pkg/storer/model_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bergamothollow.example/bergamothollow/internal/schedule"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // skipClock advances by each wait at once, so that a client can run on one goroutine.
@@ -34,13 +35,16 @@
 	clock      *skipClock
 	outcome    func() outcome
 	beforeCall func()
-	version    int64
+	version    versioner.Version
 	objects    map[string]Object
 	history    []Event
 	// compactedAt is the version up to which events have been dropped.
-	compactedAt int64
-	// hideCompaction suppresses the error for a watch of compacted events.
+	compactedAt versioner.Version
+	// hideCompaction suppresses the error for a watch of compacted events, and hideEra the era of answers.
 	hideCompaction bool
+	hideEra        bool
+	// kept is a copy from which the store may be restored.
+	kept *faultyStore
 }
 
 // outcome is what happens to one call.
@@ -85,8 +89,8 @@
 	}
 }
 
-func (s *faultyStore) put(kind Kind, name string, value json.RawMessage) int64 {
-	s.version++
+func (s *faultyStore) put(kind Kind, name string, value json.RawMessage) versioner.Version {
+	s.version.Number++
 	o := Object{
 		Kind:    kind,
 		Name:    name,
@@ -106,7 +110,7 @@
 	if !exists {
 		return
 	}
-	s.version++
+	s.version.Number++
 	o.Version = s.version
 	delete(s.objects, name)
 	s.history = append(s.history, Event{
@@ -126,11 +130,11 @@
 	return o, err
 }
 
-func (s *faultyStore) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error) {
-	return s.Update(ctx, kind, name, 0, value)
+func (s *faultyStore) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (versioner.Version, error) {
+	return s.Update(ctx, kind, name, versioner.Version{}, value)
 }
 
-func (s *faultyStore) Update(_ context.Context, kind Kind, name string, version int64, value json.RawMessage) (v int64, err error) {
+func (s *faultyStore) Update(_ context.Context, kind Kind, name string, version versioner.Version, value json.RawMessage) (v versioner.Version, err error) {
 	err = s.attempt(func() error {
 		if s.objects[name].Version != version {
 			return &ConflictError{Kind: kind, Name: name, Current: s.objects[name]}
@@ -141,7 +145,7 @@
 	return v, err
 }
 
-func (s *faultyStore) Delete(_ context.Context, kind Kind, name string, version int64) error {
+func (s *faultyStore) Delete(_ context.Context, kind Kind, name string, version versioner.Version) error {
 	return s.attempt(func() error {
 		if s.objects[name].Version != version {
 			return &ConflictError{Kind: kind, Name: name, Current: s.objects[name]}
@@ -153,10 +157,12 @@
 
 func (s *faultyStore) List(_ context.Context, _ Kind, prefix, after string, limit int) (l Listing, err error) {
 	err = s.attempt(func() error {
-		l.Version = s.version
+		l.Version = s.stated(s.version)
 		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
 			if strings.HasPrefix(name, prefix) && name > after && len(l.Items) < limit {
-				l.Items = append(l.Items, s.objects[name])
+				o := s.objects[name]
+				o.Version = s.stated(versioner.Version{Era: s.version.Era, Number: o.Number})
+				l.Items = append(l.Items, o)
 			}
 		}
 		return nil
@@ -164,20 +170,22 @@
 	return l, err
 }
 
-func (s *faultyStore) Watch(_ context.Context, _ Kind, after int64, wait time.Duration) (c Changes, err error) {
+func (s *faultyStore) Watch(_ context.Context, _ Kind, after versioner.Version, wait time.Duration) (c Changes, err error) {
 	err = s.attempt(func() error {
-		if after < s.compactedAt && !s.hideCompaction {
+		// The store knows only the number of the version.
+		if s.compactedAt.Number > after.Number && !s.hideCompaction || after.Number > s.version.Number {
 			return &CompactedError{After: after}
 		}
 		for _, e := range s.history {
-			if e.Object.Version > after && e.Object.Version > s.compactedAt {
+			if e.Object.Number > after.Number && e.Object.Number > s.compactedAt.Number {
+				e.Object.Version = s.stated(versioner.Version{Era: s.version.Era, Number: e.Object.Number})
 				c.Events = append(c.Events, e)
 			}
 		}
 		if len(c.Events) == 0 {
 			s.clock.now = s.clock.now.Add(wait)
 		}
-		c.Version = s.version
+		c.Version = s.stated(s.version)
 		return nil
 	})
 	return c, err
@@ -187,11 +195,52 @@
 	return nil, s.attempt(func() error { return nil })
 }
 
+// stated returns a version as the store's answers state it.
+func (s *faultyStore) stated(v versioner.Version) versioner.Version {
+	if s.hideEra {
+		v.Era = 0
+	}
+	return v
+}
+
+// keep makes a copy of the store.
+func (s *faultyStore) keep() {
+	s.kept = &faultyStore{
+		version:     s.version,
+		objects:     maps.Clone(s.objects),
+		history:     slices.Clone(s.history),
+		compactedAt: s.compactedAt,
+	}
+}
+
+// restore replaces the content by that of the last copy, in a new era.
+func (s *faultyStore) restore() {
+	if s.kept == nil {
+		return
+	}
+	s.version.Era++
+	s.version.Number = s.kept.version.Number
+	s.objects = maps.Clone(s.kept.objects)
+	s.history = slices.Clone(s.kept.history)
+	s.compactedAt = s.kept.compactedAt
+}
+
+// watcherVariant is a store without one of the means by which a watcher notices that it has missed changes, or one that is restored.
+type watcherVariant struct {
+	hideCompaction bool
+	restored       bool
+	hideEra        bool
+}
+
 // checkWatcher runs a watcher on a faulty store that others change, and compares its cache and events with the store.
-func checkWatcher(draw schedule.Draw, hideCompaction bool) error {
+func checkWatcher(draw schedule.Draw, variant watcherVariant) error {
 	clock := &skipClock{now: time.Unix(1000, 0)}
 	store := newFaultyStore(clock)
-	store.hideCompaction = hideCompaction
+	store.hideCompaction = variant.hideCompaction
+	store.hideEra = variant.hideEra
+	if variant.restored {
+		store.version.Era = 1
+	}
 	steps := 40
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -206,6 +255,9 @@
 		if steps > 0 {
 			changeStore(store, draw)
 		}
+		if steps > 0 && variant.restored {
+			restoreStore(store, draw)
+		}
 		// The last calls have no faults. After at most a list and two watches the cache must agree with the store.
 		if steps < -4 {
 			cancel()
@@ -228,6 +280,7 @@
 	want := map[string]Object{}
 	for name, o := range store.objects {
 		if strings.HasPrefix(name, "a") {
+			o.Version = store.stated(versioner.Version{Era: store.version.Era, Number: o.Number})
 			want[name] = o
 		}
 	}
@@ -246,6 +299,15 @@
 	}
 }
 
+func restoreStore(s *faultyStore, draw schedule.Draw) {
+	switch draw("restore", 8) {
+	case 1:
+		s.keep()
+	case 2:
+		s.restore()
+	}
+}
+
 func compare(what string, got, want map[string]Object) error {
 	same := maps.EqualFunc(got, want, func(a, b Object) bool {
 		return a.Version == b.Version
--- a/pkg/storer/object.go
+++ b/pkg/storer/object.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // Kind names one kind of object.
@@ -29,10 +30,10 @@
 
 // Object is a stored JSON value with its kind, name and version.
 type Object struct {
-	Kind    Kind            `json:"kind"`
-	Name    string          `json:"name"`
-	Version int64           `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	versioner.Version
+	Value json.RawMessage `json:"value"`
 }
 
 // EventType is the type of a change.
@@ -52,14 +53,14 @@
 
 // Listing is a page of objects at a version of the store.
 type Listing struct {
-	Items   []Object `json:"items"`
-	Version int64    `json:"version"`
+	Items []Object `json:"items"`
+	versioner.Version
 }
 
 // Changes are the events that a watch returned and the version up to which they are complete.
 type Changes struct {
-	Events  []Event `json:"events"`
-	Version int64   `json:"version"`
+	Events []Event `json:"events"`
+	versioner.Version
 }
 
 // InstanceState is the state of an instance in the platform's list.
@@ -81,12 +82,12 @@
 type Store interface {
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
 	// Create writes the value if no object has the name.
-	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error)
+	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (versioner.Version, error)
 	// Update writes the value if the object still has the version.
-	Update(ctx context.Context, kind Kind, name string, version int64, value json.RawMessage) (int64, error)
-	Delete(ctx context.Context, kind Kind, name string, version int64) error
+	Update(ctx context.Context, kind Kind, name string, version versioner.Version, value json.RawMessage) (versioner.Version, error)
+	Delete(ctx context.Context, kind Kind, name string, version versioner.Version) error
 	List(ctx context.Context, kind Kind, prefix, after string, limit int) (Listing, error)
-	Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, kind Kind, after versioner.Version, wait time.Duration) (Changes, error)
 	Instances(ctx context.Context) ([]ListedInstance, error)
 }
 
@@ -94,6 +95,8 @@
 type NotFoundError struct {
 	Kind Kind
 	Name string
+	// Era is the era of the store in which there is no such object, 0 if the store states none.
+	Era int64
 }
 
 // Error describes the missing object.
@@ -110,7 +113,7 @@
 
 // Error describes the conflict.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s %q was changed by another writer (now version %d): read it and try again", e.Kind, e.Name, e.Current.Version)
+	return fmt.Sprintf("%s %q was changed by another writer (now version %d): read it and try again", e.Kind, e.Name, e.Current.Number)
 }
 
 // UnavailableError means that the store responded with an error or not at all. If Sent is set, a write may have taken
@@ -133,12 +136,23 @@
 
 // CompactedError means that the store no longer has the events that a watch asked for; the caller must list again.
 type CompactedError struct {
-	After int64
+	After versioner.Version
 }
 
 // Error names the version and says what to do.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("history after version %d is gone: list again", e.After)
+	return fmt.Sprintf("history after version %d is gone: list again", e.After.Number)
+}
+
+// EraError means that the store was restored from a copy between two steps that must see the same store; the object must be read again.
+type EraError struct {
+	// Known is the era of the version that the call is based on, and Current the store's era.
+	Known, Current int64
+}
+
+// Error states both eras.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the store was restored from a copy (era %d, now %d): read the object again", e.Known, e.Current)
 }
 
 // ThrottledError means that the store refused the call because of its rate limit. The call did not take effect.
--- a/pkg/storer/single_attempt.go
+++ b/pkg/storer/single_attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // singleAttempt makes each call once, without retries, within the client's budget; it implements Store.
@@ -20,21 +22,21 @@
 }
 
 // Create writes the value if no object has the name.
-func (s *singleAttempt) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (int64, error) {
-	return callOnce(ctx, s, "create", func(n *Counters) { n.Create++ }, func() (int64, error) {
+func (s *singleAttempt) Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (versioner.Version, error) {
+	return callOnce(ctx, s, "create", func(n *Counters) { n.Create++ }, func() (versioner.Version, error) {
 		return s.client.store.Create(ctx, kind, name, value)
 	})
 }
 
 // Update writes the value if the object still has the version.
-func (s *singleAttempt) Update(ctx context.Context, kind Kind, name string, version int64, value json.RawMessage) (int64, error) {
-	return callOnce(ctx, s, "update", func(n *Counters) { n.Update++ }, func() (int64, error) {
+func (s *singleAttempt) Update(ctx context.Context, kind Kind, name string, version versioner.Version, value json.RawMessage) (versioner.Version, error) {
+	return callOnce(ctx, s, "update", func(n *Counters) { n.Update++ }, func() (versioner.Version, error) {
 		return s.client.store.Update(ctx, kind, name, version, value)
 	})
 }
 
 // Delete removes the object if it still has the version.
-func (s *singleAttempt) Delete(ctx context.Context, kind Kind, name string, version int64) error {
+func (s *singleAttempt) Delete(ctx context.Context, kind Kind, name string, version versioner.Version) error {
 	_, err := callOnce(ctx, s, "delete", func(n *Counters) { n.Delete++ }, func() (struct{}, error) {
 		return struct{}{}, s.client.store.Delete(ctx, kind, name, version)
 	})
@@ -49,7 +51,7 @@
 }
 
 // Watch waits for changes of a kind after a version.
-func (s *singleAttempt) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) (Changes, error) {
+func (s *singleAttempt) Watch(ctx context.Context, kind Kind, after versioner.Version, wait time.Duration) (Changes, error) {
 	return callOnce(ctx, s, "watch", func(n *Counters) { n.Watch++ }, func() (Changes, error) {
 		return s.client.store.Watch(ctx, kind, after, wait)
 	})
--- a/pkg/storer/transport.go
+++ b/pkg/storer/transport.go
@@ -44,9 +44,10 @@
 	Timeout time.Duration
 }
 
-// Response is the status and the body of an HTTP response.
+// Response is the status, the header and the body of an HTTP response.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -103,8 +104,11 @@
 			Cause: err,
 		}
 	}
+	header := http.Header{}
+	resp.Header.VisitAll(func(name, value []byte) { header.Add(string(name), string(value)) })
 	return Response{
 		Status: resp.StatusCode(),
+		Header: header,
 		Body:   bytes.Clone(resp.Body()),
 	}, nil
 }
--- a/pkg/storer/watcher.go
+++ b/pkg/storer/watcher.go
@@ -6,12 +6,14 @@
 	"strings"
 	"sync"
 	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // View is a snapshot of a watcher's cache. Objects must not be modified.
 type View struct {
 	Objects map[string]Object
-	Version int64
+	Version versioner.Version
 	// Listed is set once the first list has succeeded.
 	Listed bool
 	// Age is the time since the last successful list or watch.
@@ -64,7 +66,7 @@
 }
 
 // Run lists once and then watches until the context ends. It lists again if the store has compacted events that the
-// watcher has not seen.
+// watcher has not seen, or was restored from a copy.
 func (w *Watcher) Run(ctx context.Context) {
 	failures := 0
 	listed := false
@@ -127,10 +129,17 @@
 	if w.lastCallFailed {
 		wait = probeWait
 	}
-	changes, err := w.client.Watch(ctx, w.settings.Kind, w.Read().Version, wait)
+	after := w.Read().Version
+	changes, err := w.client.Watch(ctx, w.settings.Kind, after, wait)
 	if err != nil {
 		return err
 	}
+	if changes.Era != after.Era {
+		// The store's counter may have passed the version again, with other events.
+		return &CompactedError{
+			After: after,
+		}
+	}
 	w.update(func(c *cache) []Event {
 		return c.apply(w.filterByPrefix(changes))
 	})
--- a/pkg/storer/write.go
+++ b/pkg/storer/write.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 // write is one conditional write. It is retried, and the object read back after a lost response, until the outcome is
@@ -12,10 +14,10 @@
 	store  Store
 	kind   Kind
 	name   string
-	// expectedVersion is the version that the write is conditional on, 0 for a create.
-	expectedVersion int64
+	// expectedVersion is the version that the write is conditional on; it is zero for a create.
+	expectedVersion versioner.Version
 	isDelete        bool
-	send            func() (int64, error)
+	send            func() (versioner.Version, error)
 	isOwnWrite      IsOwnWrite
 	// mayBeWritten means that an earlier attempt may have taken effect.
 	mayBeWritten bool
@@ -25,7 +27,7 @@
 
 // run returns the written version, a ConflictError, an UnresolvedError, or an error that means that nothing was written.
 // A ConflictError after a lost response can also mean that the write took effect and was then overwritten.
-func (w *write) run(ctx context.Context) (int64, error) {
+func (w *write) run(ctx context.Context) (versioner.Version, error) {
 	for attempt := 1; ; attempt++ {
 		version, err := w.attempt(ctx)
 		if err == nil && !w.readingBack {
@@ -40,14 +42,14 @@
 			return version, nil
 		}
 		if err := w.waitToRetry(ctx, attempt, err); err != nil {
-			return 0, err
+			return versioner.Version{}, err
 		}
 	}
 }
 
 // attempt sends the write or reads the object back. A read-back succeeds if the object is unchanged and fails with a
 // ConflictError if it has another version.
-func (w *write) attempt(ctx context.Context) (int64, error) {
+func (w *write) attempt(ctx context.Context) (versioner.Version, error) {
 	if !w.readingBack {
 		return w.send()
 	}
@@ -58,17 +60,17 @@
 	case errors.As(err, &missing) && w.isDelete:
 		// The delete has taken effect; with readingBack unset, run returns success.
 		w.readingBack = false
-		return 0, nil
-	case errors.As(err, &missing) && w.expectedVersion == 0:
-		return 0, nil
+		return versioner.Version{}, nil
+	case errors.As(err, &missing) && !w.expectedVersion.Exists():
+		return versioner.Version{}, nil
 	case errors.As(err, &missing):
-		return 0, w.conflictError(Object{})
+		return versioner.Version{}, w.conflictError(Object{})
 	case err != nil:
-		return 0, err
+		return versioner.Version{}, err
 	case object.Version == w.expectedVersion:
-		return 0, nil
+		return versioner.Version{}, nil
 	default:
-		return 0, w.conflictError(object)
+		return versioner.Version{}, w.conflictError(object)
 	}
 }
 
@@ -81,18 +83,18 @@
 }
 
 // showsWritten reports whether the error shows that the write has taken effect, and the version that it wrote.
-func (w *write) showsWritten(err error) (bool, int64) {
+func (w *write) showsWritten(err error) (bool, versioner.Version) {
 	var conflict *ConflictError
 	var missing *NotFoundError
 	switch {
 	case errors.As(err, &conflict) && w.isOwnWrite != nil && w.isOwnWrite(conflict.Current.Value):
 		return true, conflict.Current.Version
 	case errors.As(err, &missing) && w.isDelete:
-		return true, 0
-	case errors.As(err, &conflict) && w.isDelete && conflict.Current.Version == 0:
-		return true, 0
+		return true, versioner.Version{}
+	case errors.As(err, &conflict) && w.isDelete && !conflict.Current.Exists():
+		return true, versioner.Version{}
 	default:
-		return false, 0
+		return false, versioner.Version{}
 	}
 }
 
--- a/pkg/tallier/tallier.go
+++ b/pkg/tallier/tallier.go
@@ -234,8 +234,13 @@
 	return sum
 }
 
-// Adopt takes over the state that is stored. It replaces what wasn't stored.
+// Adopt takes over the state that is stored. It replaces what wasn't stored. A state that lacks final counts that this process knows of is
+// one of a store that was restored from a copy; only its open counts are taken over.
 func (t *Tallier) Adopt(s State) {
+	if s.Next < t.next {
+		t.Merge(s.Open)
+		return
+	}
 	t.next = s.Next
 	t.reports = s.Reports
 	maps.DeleteFunc(t.done, func(w int64, _ bool) bool {
@@ -244,6 +249,16 @@
 	t.Merge(s.Open)
 }
 
+// Next returns the first window that has no final count, 0 if none is known.
+func (t *Tallier) Next() int64 {
+	return t.next
+}
+
+// Skip records that the counts of all windows before next are final, so that this process never determines them again.
+func (t *Tallier) Skip(next int64) {
+	t.next = max(t.next, next)
+}
+
 // Report returns the first stored report that isn't known to be sent.
 func (t *Tallier) Report() (Report, bool) {
 	for _, r := range t.reports {
--- a/pkg/tallier/tallier_test.go
+++ b/pkg/tallier/tallier_test.go
@@ -209,3 +209,27 @@
 		})
 	}
 }
+
+// Guards against a window that is reported with two contents after the store was restored from a copy that lacks its final count.
+func TestRestoredStateOpensNoWindowAgain(t *testing.T) {
+	holder, follower := New(settings(), "a"), New(settings(), "b")
+	count(holder, time.Second, "crew", 3)
+	old := seal(t, holder, start, true)
+	seal(t, holder, start.Add(2*window), true)
+	checkReport(t, holder, Counts{"crew": 3})
+	follower.Merge(Tally{holder.window(start): {"c": {"crew": 1}}})
+	follower.Skip(holder.Next())
+	for _, l := range []*Tallier{holder, follower} {
+		next := l.Next()
+		l.Adopt(old)
+		if l.Next() != next {
+			t.Errorf("window %d is open again, the first open one was %d", l.Next(), next)
+		}
+	}
+	checkReport(t, holder, Counts{"crew": 3})
+	for _, r := range follower.Propose(start.Add(2*window), known(true)).Reports {
+		if r.Window < holder.Next() {
+			t.Errorf("window %d is reported again", r.Window)
+		}
+	}
+}
--- a/pkg/warden/warden.go
+++ b/pkg/warden/warden.go
@@ -1,6 +1,10 @@
 package warden
 
-import "time"
+import (
+	"time"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
+)
 
 // Settings are the times of a warden. All processes must have the same lease.
 type Settings struct {
@@ -25,9 +29,9 @@
 	}
 }
 
-// Record is the state in the store. Version 0 means that there is none.
+// Record is the state in the store. Its version doesn't exist if there is none.
 type Record struct {
-	Version int64
+	Version versioner.Version
 	// Holder is the process that holds the duties or held them last.
 	Holder string
 	// Fence is the number of that holder.
@@ -80,6 +84,35 @@
 	heldFrom  time.Duration
 	// highest is the highest fence seen.
 	highest int64
+	// era is the newest era of the store that this process has heard of.
+	era int64
+	// continues is set while this process may hold the duties in this era as it did in the one before, until the end of that lease.
+	continues bool
+}
+
+// eraFences is the number of fences in an era, and maxFenceEra the last era that has fences of its own: a platform may read a fence as a
+// floating-point number, which is exact below 2^53.
+const (
+	eraFences   = 1 << 20
+	maxFenceEra = 1 << 32
+)
+
+// firstFence returns the lowest fence of an era. It is above all fences of earlier eras, also those that a restored store has forgotten.
+func firstFence(era int64) int64 {
+	return min(era, maxFenceEra) * eraFences
+}
+
+// EnterEra reports an era of the store: a newer one has begun when the store was restored from a copy. Leases of the former era end, but
+// its holder may go on once it has written the record again. Any other process waits for the end of the longest lease, since the copy may
+// lack the last holder.
+func (w *Warden) EnterEra(now time.Duration, era int64) {
+	if era <= w.era {
+		return
+	}
+	_, _, w.continues = w.Turn(now)
+	w.era = era
+	w.holds = false
+	w.current = false
 }
 
 // New returns a warden of a process. The name must differ from those of all other processes, also from former ones of the machine.
@@ -92,10 +125,15 @@
 
 // Turn reports whether the process may act now, with which fence and until when.
 func (w *Warden) Turn(now time.Duration) (fence int64, until time.Duration, ok bool) {
-	until = w.leaseFrom + w.settings.Lease - w.settings.Margin
+	until = w.leaseEnd()
 	return w.record.Fence, until, w.holds && now < until
 }
 
+// leaseEnd returns when this process stops acting unless it renews its lease.
+func (w *Warden) leaseEnd() time.Duration {
+	return w.leaseFrom + w.settings.Lease - w.settings.Margin
+}
+
 // Tick returns the next call of the store, nil if there is none now.
 func (w *Warden) Tick(now time.Duration, wish Wish) Action {
 	if w.pending != nil || now < w.next {
@@ -107,7 +145,9 @@
 }
 
 func (w *Warden) step(now time.Duration, wish Wish) Action {
-	mine := w.record.Holder == w.self && !w.record.Released
+	ofEra := w.record.Fence >= firstFence(w.era)
+	mine := ofEra && w.record.Holder == w.self && !w.record.Released
+	waited := now-w.seenAt >= w.settings.Lease+w.settings.Margin
 	switch {
 	case !wish.Hold:
 		return w.giveUp(now, wish.Busy)
@@ -117,8 +157,8 @@
 		return nil
 	case mine:
 		return w.write(w.record.Fence, false)
-	case w.record.Version == 0, w.record.Released, now-w.seenAt >= w.settings.Lease+w.settings.Margin:
-		return w.write(w.highest+1, false)
+	case w.continues && !ofEra && now < w.leaseEnd(), waited, ofEra && (w.record.Released || !w.record.Version.Exists()):
+		return w.write(max(w.highest+1, firstFence(w.era)), false)
 	default:
 		return nil
 	}
@@ -149,12 +189,18 @@
 }
 
 // Written reports that the pending write was done and gave the record a new version.
-func (w *Warden) Written(now time.Duration, version int64) {
+func (w *Warden) Written(now time.Duration, version versioner.Version) {
 	write, ok := w.pending.(Write)
 	w.pending = nil
 	if !ok {
 		return
 	}
+	w.EnterEra(now, version.Era)
+	if version.Era < w.era || write.Record.Fence < firstFence(w.era) {
+		// The store was restored after the write, or before it: its fence is of the former era.
+		w.current = false
+		return
+	}
 	took := write.Record.Fence != w.record.Fence
 	w.record = write.Record
 	w.record.Version = version
@@ -170,6 +216,10 @@
 // Seen reports the record in the store, after a read or a write that found another version.
 func (w *Warden) Seen(now time.Duration, r Record) {
 	w.pending = nil
+	if r.Version.Era < w.era {
+		return
+	}
+	w.EnterEra(now, r.Version.Era)
 	w.current = true
 	if r.Version != w.record.Version || w.seenAt == 0 {
 		w.seenAt = now
--- a/pkg/warden/warden_test.go
+++ b/pkg/warden/warden_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
 
 const lease = 3 * time.Second
@@ -35,12 +37,17 @@
 
 // world is a store, processes that may be slow, cut off or killed, and a log of their acts.
 type world struct {
-	now       time.Duration
-	store     Record
-	processes []*process
-	started   int
-	calls     []*call
-	acts      []act
+	now   time.Duration
+	store Record
+	// kept is a copy of the record, from which the store may be restored.
+	kept         Record
+	keptRevision int64
+	era          int64
+	revision     int64
+	processes    []*process
+	started      int
+	calls        []*call
+	acts         []act
 }
 
 func (w *world) start(machine int) {
@@ -58,18 +65,27 @@
 
 // run lets the store carry out a call, whether its sender still waits for it or not.
 func (w *world) run(c *call) {
-	if write, ok := c.action.(Write); ok && write.Record.Version == w.store.Version {
+	// The store knows no eras of the versions that callers state.
+	if write, ok := c.action.(Write); ok && write.Record.Version.Number == w.store.Version.Number {
+		w.revision++
 		w.store = write.Record
-		w.store.Version++
+		w.store.Version = versioner.Version{Era: w.era, Number: w.revision}
 		version := w.store.Version
-		c.result = func(v *Warden, now time.Duration) { v.Written(now, version) }
+		c.result = func(v *Warden, now time.Duration) {
+			if write.Record.Version.Exists() && write.Record.Version.Era != version.Era {
+				// The store's client doesn't report a write over an object that the caller never saw as done.
+				v.Failed(now)
+				return
+			}
+			v.Written(now, version)
+		}
 		return
 	}
 	seen := w.store
 	c.result = func(v *Warden, now time.Duration) { v.Seen(now, seen) }
 }
 
-func (w *world) actions() map[string]func(*rapid.T) {
+func (w *world) actions(drills bool) map[string]func(*rapid.T) {
 	pick := func(t *rapid.T) *process { return rapid.SampledFrom(w.processes).Draw(t, "process") }
 	pickCall := func(t *rapid.T) (int, *call) {
 		if len(w.calls) == 0 {
@@ -117,9 +133,19 @@
 				c.from.Failed(w.now)
 			}
 		},
-		"restart": func(t *rapid.T) { w.start(pick(t).machine) },
-		"wish":    func(t *rapid.T) { p := pick(t); p.wish.Hold = !p.wish.Hold },
-		"":        func(t *rapid.T) { w.check(t) },
+		"copy": func(*rapid.T) { w.kept, w.keptRevision = w.store, w.revision },
+		"restore": func(t *rapid.T) {
+			if !drills {
+				t.Skip("the store isn't restored")
+			}
+			w.era++
+			w.store, w.revision = w.kept, w.keptRevision
+			w.store.Version.Era = w.era
+		},
+		"hear of the era": func(t *rapid.T) { pick(t).EnterEra(w.now, w.era) },
+		"restart":         func(t *rapid.T) { w.start(pick(t).machine) },
+		"wish":            func(t *rapid.T) { p := pick(t); p.wish.Hold = !p.wish.Hold },
+		"":                func(t *rapid.T) { w.check(t) },
 	}
 }
 
@@ -154,15 +180,29 @@
 // Guards against two holders with one fence, a lower fence after a higher one and a holder that returns within the lease, when processes
 // pause, die or change their minds, and when answers are lost and writes are done late.
 func TestInterleavings(t *testing.T) {
+	checkInterleavings(t, false)
+}
+
+// Guards against the same where the store is restored from copies, which may lack the last holder, show one before it or give a revision
+// out again.
+func TestInterleavingsWithRestoredStores(t *testing.T) {
+	checkInterleavings(t, true)
+}
+
+func checkInterleavings(t *testing.T, drills bool) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
 			now:       time.Second,
 			processes: make([]*process, 3),
 		}
+		if drills {
+			w.era = 1
+		}
 		for m := range w.processes {
 			w.start(m)
 		}
-		t.Repeat(w.actions())
+		t.Repeat(w.actions(drills))
 	})
 }
 
@@ -225,7 +265,7 @@
 	if _, ok := w.Tick(lease, Wish{Hold: true}).(Write); !ok {
 		t.Fatal("no write")
 	}
-	w.Written(lease*3/2, 1)
+	w.Written(lease*3/2, versioner.Of(1))
 	if _, until, ok := w.Turn(lease * 3 / 2); !ok || until > 2*lease {
 		t.Errorf("turn until %v, expected at most %v", until, 2*lease)
 	}
@@ -259,3 +299,50 @@
 		t.Errorf("holds again: %v, %v after it gave up", ok, w.now-left)
 	}
 }
+
+// Guards against two holders after the store was restored from a copy that lacks the holder or shows the one before it: only the holder may
+// act before its lease could have ended.
+func TestRestoredStore(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		record func(other string) Record
+	}{
+		{name: "no record", record: func(string) Record { return Record{} }},
+		{name: "released", record: func(string) Record { return Record{Holder: "former", Fence: 1, Released: true} }},
+		{name: "the other process", record: func(other string) Record { return Record{Holder: other, Fence: 1} }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := &world{
+				now:       time.Second,
+				era:       1,
+				processes: make([]*process, 2),
+			}
+			w.start(0)
+			w.start(1)
+			holder, other := w.processes[0], w.processes[1]
+			w.settle(holder, 2*lease)
+			former, _, _ := holder.Turn(w.now)
+			w.era++
+			w.store = test.record(other.name)
+			w.store.Version = versioner.Version{Era: w.era, Number: 1}
+			if w.store.Holder == "" {
+				w.store.Version.Number = 0
+			}
+			restored := w.now
+			w.settle(other, lease/2)
+			if _, _, ok := other.Turn(w.now); ok {
+				t.Error("another process acts within the lease")
+			}
+			holder.EnterEra(w.now, w.era)
+			if _, _, ok := holder.Turn(w.now); ok {
+				t.Error("the holder acts on its former lease")
+			}
+			w.settle(holder, lease/10)
+			fence, _, ok := holder.Turn(w.now)
+			if !ok || fence <= former {
+				t.Errorf("the holder goes on: %v, with fence %d after %d", ok, fence, former)
+			}
+			t.Logf("%v after the return", w.now-restored)
+		})
+	}
+}
