Accept objects of peers that state no era

An instance of an earlier release states no eras of the objects that it sends. One that knew the store's era took them for older and ignored its leader's changes while releases change. They now count as of the present era, which TestPeerOfEarlierRelease shows. A run without a start isn't remembered as leaving across eras, since the next one couldn't be told from it.

--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -160,6 +160,21 @@
 	return versions
 }
 
+// assumeEra completes versions of a peer of a release that states no eras: they count as of the present one.
+func (c *Coordinator) assumeEra(events []storer.Event, complete map[storer.Kind]versioner.Version) {
+	for i := range events {
+		if events[i].Object.Era == 0 {
+			events[i].Object.Era = c.era
+		}
+	}
+	for kind, v := range complete {
+		if v.Era == 0 {
+			v.Era = c.era
+			complete[kind] = v
+		}
+	}
+}
+
 // setComplete states the versions up to which the objects of the message are complete.
 func (m *objectsMessage) setComplete(versions map[storer.Kind]versioner.Version) {
 	m.Complete = make(map[storer.Kind]int64, len(versions))
--- a/internal/coordinator/era_test.go
+++ b/internal/coordinator/era_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// Guards against instances that ignore what a leader of an earlier release sends, which states no eras, while releases change.
+func TestPeerOfEarlierRelease(t *testing.T) {
+	c, now := newRestored(t)
+	message := objectsMessage{}
+	earlier := rulesEvent(10, 0, 40)
+	if err := json.Unmarshal(c.encodeObjects([]storer.Event{earlier}, false), &message); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.applyObjects(now, message); err != nil {
+		t.Fatal(err)
+	}
+	assertRules(t, c, 10)
+	c.applyChange(now, rulesEvent(11, 2, 20))
+	assertRules(t, c, 11)
+}
+
 // Guards against work for a target that had left when a copy lists it again, and against a target that is never used again.
 func TestRemovedTargetOfRestoredStore(t *testing.T) {
 	c, now := newRestored(t)
--- a/internal/coordinator/feed.go
+++ b/internal/coordinator/feed.go
@@ -212,6 +212,7 @@
 		return err
 	}
 	complete := m.completeVersions()
+	c.assumeEra(events, complete)
 	if m.Whole {
 		events = append(c.missingObjects(events, complete), events...)
 	}
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -97,7 +97,7 @@
 		c.removeAt[id] = now.Add(c.settings.ReregistrationTime)
 	}
 	for id, t := range c.targets {
-		if t.Leaving {
+		if t.Leaving && !t.Started.IsZero() {
 			c.MarkLeaving(id, t.Started)
 		}
 	}
