--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -59,6 +59,9 @@
 	maxStoreRetryDelay = 500 * time.Millisecond
 	// targetReregistrationTime is how long after an outage of the store live targets may take to write their entries again.
 	targetReregistrationTime = 2 * time.Second
+	// evacuationRequestTime is how long operators may take to request an evacuation again after the store was restored from a copy that
+	// lacks it.
+	evacuationRequestTime = 10 * time.Second
 	// exitMargin is reserved at the end of the grace period for the exit of the process.
 	exitMargin = 400 * time.Millisecond
 	// minLeaveTime is the shortest time that a leaving instance keeps serving: callers cache an address for up to three times its
@@ -274,6 +277,7 @@
 		WatchWait: s.Gateway.WatchWait,
 		Catalogue: cataloguer.Settings{
 			ReregistrationTime: targetReregistrationTime,
+			EvacuationTime:     evacuationRequestTime,
 		},
 		Scheduler:     schedulerSettings,
 		Balancer:      balancerSettings(s.Gateway),
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -631,6 +631,7 @@
 	centre := namer.DataCentre(o.Name)
 	if lapsed {
 		c.catalogue.LapseEvacuation(now, centre)
+		c.shareAllRetained()
 	} else {
 		c.catalogue.Evacuate(centre, out)
 	}
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/convener"
+	"bergamothollow.example/bergamothollow/pkg/namer"
 	"bergamothollow.example/bergamothollow/pkg/storer"
 	"bergamothollow.example/bergamothollow/pkg/versioner"
 )
@@ -84,68 +88,111 @@
 }
 
 // retainRules keeps rules in force that are newer than those of the store, which was restored from an older copy, until they are written
-// again. Instances that start meanwhile learn of them from their peers.
+// again.
 func (c *Coordinator) retainRules() {
 	if c.rules == nil || c.rulesRetained {
 		return
 	}
 	c.rulesRetained = true
 	c.options.Log.Warn().Int64("in_force", c.rules.Rules.Version).Msg("coordinator: the store has older rules, keeping those in force")
-	c.shareRetainedRules()
-}
-
-// shareRetainedRules sends the rules in force to the leader, or to all followers.
-func (c *Coordinator) shareRetainedRules() {
+	c.shareAllRetained()
+}
+
+// retained returns what this instance keeps in force although a restored store lacks it. Instances that start meanwhile read only what the
+// store has, so they learn of it from their peers.
+func (c *Coordinator) retained() []storer.Event {
+	var events []storer.Event
+	if c.rulesRetained {
+		events = append(events, storer.Event{
+			Type:   storer.EventPut,
+			Object: c.rulesObject,
+		})
+	}
+	for _, centre := range c.catalogue.Lapsing() {
+		events = append(events, storer.Event{
+			Type: storer.EventPut,
+			Object: storer.Object{
+				Kind:  c.options.Format.EvacuationKind,
+				Name:  string(centre),
+				Value: json.RawMessage("{}"),
+			},
+		})
+	}
+	return events
+}
+
+// shareAllRetained sends what this instance retains to its leader, or to all followers.
+func (c *Coordinator) shareAllRetained() {
 	if c.leader != nil {
-		c.shareRules(c.leader)
-	}
-	if c.convener.Role() != convener.Leading {
-		return
-	}
-	message := c.encodeObjects([]storer.Event{c.rulesEvent()}, false)
-	if message == nil {
+		c.shareRetained(c.leader)
 		return
 	}
-	for l := range c.followers {
-		l.notify(methodRules, message)
+	if c.convener.Role() == convener.Leading {
+		c.shareRetained(slices.Collect(maps.Keys(c.followers))...)
 	}
 }
 
-// shareRules sends the rules in force to a peer if the store doesn't have them.
-func (c *Coordinator) shareRules(to *link) {
-	if !c.rulesRetained {
+// shareRetained sends what this instance retains, if anything, to peers.
+func (c *Coordinator) shareRetained(peers ...*link) {
+	events := c.retained()
+	if len(events) == 0 {
 		return
 	}
-	if message := c.encodeObjects([]storer.Event{c.rulesEvent()}, false); message != nil {
-		to.notify(methodRules, message)
+	message := c.encodeObjects(events, false)
+	if message == nil {
+		return
 	}
-}
-
-func (c *Coordinator) rulesEvent() storer.Event {
-	return storer.Event{
-		Type:   storer.EventPut,
-		Object: c.rulesObject,
+	for _, l := range peers {
+		l.notify(methodRetained, message)
 	}
 }
 
-// adoptRules takes over rules that a peer has in force and the store lacks.
-func (c *Coordinator) adoptRules(m objectsMessage) {
+// handleRetained takes over what a peer keeps in force although the store lacks it, and passes on what was new.
+func (c *Coordinator) handleRetained(now time.Time, from *link, m objectsMessage) {
 	events, err := m.decode()
 	if err != nil {
-		c.options.Log.Error().Err(err).Msg("coordinator: failed to decode the rules of a peer")
+		c.options.Log.Error().Err(err).Str("member", from.member.Name).Msg("coordinator: failed to decode what a peer retains")
 		return
 	}
+	adopted := false
 	for _, e := range events {
-		rules, err := c.options.Format.DecodeRules(e.Object.Value)
-		if err != nil || c.rules != nil && rules.Version <= c.rules.Rules.Version {
-			continue
+		switch e.Object.Kind {
+		case c.options.Format.RulesKind:
+			adopted = c.adoptRules(e.Object) || adopted
+		case c.options.Format.EvacuationKind:
+			adopted = c.adoptEvacuation(now, e.Object) || adopted
 		}
-		c.putRulesInForce(e.Object, rules)
-		c.options.Log.Info().Int64("version", rules.Version).Msg("coordinator: rules of a peer in force, the store lacks them")
-		c.rulesRetained = true
+	}
+	if adopted {
 		c.viewOutdated = true
-		c.shareRetainedRules()
+		c.shareAllRetained()
+	}
+}
+
+func (c *Coordinator) adoptRules(o storer.Object) bool {
+	rules, err := c.options.Format.DecodeRules(o.Value)
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("coordinator: rules of a peer not readable")
+		return false
+	}
+	if c.rules != nil && rules.Version <= c.rules.Rules.Version {
+		return false
+	}
+	c.putRulesInForce(o, rules)
+	c.rulesRetained = true
+	c.options.Log.Info().Int64("version", rules.Version).Msg("coordinator: rules of a peer in force, the store lacks them")
+	return true
+}
+
+func (c *Coordinator) adoptEvacuation(now time.Time, o storer.Object) bool {
+	centre := namer.DataCentre(o.Name)
+	if c.catalogue.Evacuated(centre) {
+		return false
 	}
+	c.catalogue.Evacuate(centre, true)
+	c.catalogue.LapseEvacuation(now, centre)
+	c.options.Log.Info().Str("data_centre", o.Name).Msg("coordinator: evacuation of a peer in force, the store lacks it")
+	return true
 }
 
 // completeVersions returns the versions up to which the objects of the message are complete.
--- a/internal/coordinator/role.go
+++ b/internal/coordinator/role.go
@@ -237,7 +237,7 @@
 	c.lostLeader = ""
 	c.convener.Joined(now, m.answer.Self)
 	c.shareIsolations(now, c.leader)
-	c.shareRules(c.leader)
+	c.shareRetained(c.leader)
 	c.shareCounts(c.leader)
 	for id, p := range c.placed {
 		message := adoptMessage{
@@ -360,7 +360,7 @@
 	m.answer(answer)
 	if answer.Accepted {
 		c.shareIsolations(now, m.link)
-		c.shareRules(m.link)
+		c.shareRetained(m.link)
 	}
 }
 
@@ -396,8 +396,8 @@
 				c.options.Log.Error().Err(err).Str("member", m.link.member.Name).Msg("coordinator: failed to decode objects from a store reader")
 			}
 		})
-	case methodRules:
-		return decodeAndHandle(m, c.adoptRules)
+	case methodRetained:
+		return decodeAndHandle(m, func(o objectsMessage) { c.handleRetained(now, m.link, o) })
 	case methodWithdraw:
 		return decodeAndHandle(m, func(p progressMessage) {
 			delete(c.owners, p.Request)
@@ -447,8 +447,8 @@
 		return decodeAndHandle(m, func(p leavesMessage) { c.handleTargetLeaves(p.run(), m.link) })
 	case methodIsolated:
 		return decodeAndHandle(m, func(p isolationsMessage) { c.replaceIsolations(p.isolations(now)) })
-	case methodRules:
-		return decodeAndHandle(m, c.adoptRules)
+	case methodRetained:
+		return decodeAndHandle(m, func(o objectsMessage) { c.handleRetained(now, m.link, o) })
 	case methodObjects:
 		var objects objectsMessage
 		if err := json.Unmarshal(m.params, &objects); err != nil {
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -28,8 +28,8 @@
 	methodIsolated = "isolated"
 	methodLeaves   = "leaves"
 	methodCounts   = "counts"
-	// methodRules carries rules in force that are newer than those of the store.
-	methodRules = "rules"
+	// methodRetained carries what is in force although a restored store lacks it.
+	methodRetained = "retained"
 )
 
 // joinRequest asks the leader to accept the sender as a follower.
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -26,6 +27,8 @@
 type Settings struct {
 	// ReregistrationTime is how long live targets may take to register again after an outage of the store.
 	ReregistrationTime time.Duration
+	// EvacuationTime is how long an evacuation that a restored store lacks stays in force unless it is requested again.
+	EvacuationTime time.Duration
 }
 
 // Catalogue is an immutable snapshot of the targets.
@@ -177,13 +180,23 @@
 	delete(c.evacuated, centre)
 }
 
+// Evacuated reports whether a data centre is evacuated.
+func (c *Cataloguer) Evacuated(centre namer.DataCentre) bool {
+	return c.evacuated[centre]
+}
+
 // LapseEvacuation ends an evacuation that a restored store lacks, unless it is requested again in time.
 func (c *Cataloguer) LapseEvacuation(now time.Time, centre namer.DataCentre) {
 	if c.evacuated[centre] {
-		c.endAt[centre] = now.Add(c.settings.ReregistrationTime)
+		c.endAt[centre] = now.Add(c.settings.EvacuationTime)
 	}
 }
 
+// Lapsing returns the data centres whose evacuation a restored store lacks, and which stay evacuated for now.
+func (c *Cataloguer) Lapsing() []namer.DataCentre {
+	return slices.Sorted(maps.Keys(c.endAt))
+}
+
 // Tick removes targets that have not registered again in time, ends evacuations that were not requested again, and gives work again to
 // targets whose entries have outlived their doubt. It reports whether anything has changed.
 func (c *Cataloguer) Tick(now time.Time) bool {
