--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -71,6 +71,9 @@
 		if err != nil {
 			return storer.Changes{}, err
 		}
+		if listing.Era != after.Era {
+			return storer.Changes{Version: listing.Version}, nil
+		}
 		var changes storer.Changes
 		for _, o := range listing.Items {
 			if o.After(after) {
--- a/internal/emulator/keeper/keeper.go
+++ b/internal/emulator/keeper/keeper.go
@@ -26,7 +26,7 @@
 type Keeper struct {
 	mu      sync.Mutex
 	objects map[key]storer.Object
-	version int64
+	version versioner.Version
 	faults  Faults
 }
 
@@ -84,11 +84,41 @@
 		return storer.Object{}, &storer.NotFoundError{
 			Kind: kind,
 			Name: name,
+			Era:  k.version.Era,
 		}
 	}
 	return object, nil
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	objects map[key]storer.Object
+	number  int64
+}
+
+// Copy returns a copy of the content, from which the store may be restored.
+func (k *Keeper) Copy() Copy {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Copy{
+		objects: maps.Clone(k.objects),
+		number:  k.version.Number,
+	}
+}
+
+// Restore replaces the content by that of a copy and begins a new era, in which versions continue from the copy's.
+func (k *Keeper) Restore(from Copy) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.version.Era++
+	k.version.Number = from.number
+	k.objects = map[key]storer.Object{}
+	for name, object := range from.objects {
+		object.Era = k.version.Era
+		k.objects[name] = object
+	}
+}
+
 // Create writes the value if no object has the name, and returns its version.
 func (k *Keeper) Create(_ context.Context, kind storer.Kind, name string, value json.RawMessage) (versioner.Version, error) {
 	return k.write(kind, name, versioner.Version{}, func() versioner.Version {
@@ -107,8 +137,8 @@
 func (k *Keeper) Delete(_ context.Context, kind storer.Kind, name string, version versioner.Version) error {
 	_, err := k.write(kind, name, version, func() versioner.Version {
 		delete(k.objects, key{kind, name})
-		k.version++
-		return versioner.Of(k.version)
+		k.version.Number++
+		return k.version
 	})
 	return err
 }
@@ -121,7 +151,7 @@
 		return storer.Listing{}, unavailable()
 	}
 	listing := storer.Listing{
-		Version: versioner.Of(k.version),
+		Version: k.version,
 	}
 	for _, name := range k.names(kind) {
 		if strings.HasPrefix(name, prefix) && name > after && len(listing.Items) < limit {
@@ -153,14 +183,14 @@
 }
 
 func (k *Keeper) set(kind storer.Kind, name string, value json.RawMessage) versioner.Version {
-	k.version++
+	k.version.Number++
 	k.objects[key{kind, name}] = storer.Object{
 		Kind:    kind,
 		Name:    name,
-		Version: versioner.Of(k.version),
+		Version: k.version,
 		Value:   slices.Clone(value),
 	}
-	return versioner.Of(k.version)
+	return k.version
 }
 
 func (k *Keeper) write(kind storer.Kind, name string, version versioner.Version, apply func() versioner.Version) (versioner.Version, error) {
