Tell a store in era 0 from one that states no era

A store whose eras begin at 0 would have looked like one that states none until its first restore: instances took the new era for the first that they heard of, and objects of a peer that hadn't noticed for those of the present era. Eras now count from 1 inside. Not seen in a run of the product.

--- a/internal/cmd/gateway/runner.go
+++ b/internal/cmd/gateway/runner.go
@@ -396,7 +396,7 @@
 	}
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bergamothollow_gateway_store_era",
-		Help: "Newest era that the store has stated, which rises when it is restored from a copy; 0 if it states none.",
+		Help: "Newest era that the store has stated, which rises when it is restored from a copy; -1 if it states none.",
 	}, func() float64 { return float64(i.control.View().StoreEra) }))
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bergamothollow_gateway_rules_retained",
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -96,7 +96,7 @@
 	Began time.Time
 	// StoreLost is set while this instance's calls to the store fail.
 	StoreLost bool
-	// StoreEra is the newest era of the store that this instance has heard of, 0 if the store states none.
+	// StoreEra is the newest era of the store that this instance has heard of, as the store states it; -1 if it states none.
 	StoreEra int64
 	// RulesRetained is set while the rules in force are newer than those of the store.
 	RulesRetained bool
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -32,7 +32,7 @@
 	c.catalogue.StoreRestored(now)
 	// The restored store may name a former leader, or lack isolations.
 	c.convener.CheckNow(now)
-	c.options.Log.Warn().Int64("era", v.Era).Int64("former", former).Int64("version", v.Number).
+	c.options.Log.Warn().Int64("era", v.Era-1).Int64("former", former-1).Int64("version", v.Number).
 		Int("targets", len(c.objects[c.options.Format.TargetKind])).Int("evacuations", len(c.objects[c.options.Format.EvacuationKind])).
 		Msg("coordinator: store restored from a copy, reading it again")
 }
--- a/internal/coordinator/publish.go
+++ b/internal/coordinator/publish.go
@@ -19,7 +19,7 @@
 		Informed:  c.isInformed(c.options.Clock.Now()),
 		Began:     c.began,
 		StoreLost: c.storeLost(),
-		StoreEra:  c.era,
+		StoreEra:  c.era - 1,
 		Isolated:  c.isolatedParts(),
 
 		RulesRetained: c.rulesRetained,
--- a/pkg/storer/object.go
+++ b/pkg/storer/object.go
@@ -152,7 +152,7 @@
 
 // Error states both eras.
 func (e *EraError) Error() string {
-	return fmt.Sprintf("the store was restored from a copy (era %d, now %d): read the object again", e.Known, e.Current)
+	return fmt.Sprintf("the store was restored from a copy (era %d, now %d): read the object again", e.Known-1, e.Current-1)
 }
 
 // ThrottledError means that the store refused the call because of its rate limit. The call did not take effect.
--- a/pkg/versioner/version.go
+++ b/pkg/versioner/version.go
@@ -5,7 +5,8 @@
 // Version is the version of an object, or of a whole store, within an era of the store.
 //
 // Number is the store's revision counter; it is 0 if the object doesn't exist. A restored store returns to an older number and assigns the
-// following ones anew, so that numbers of different eras say nothing about each other. Era is 0 if the store states none.
+// following ones anew, so that numbers of different eras say nothing about each other. Era is one more than the store states, 0 if it states
+// none: that of a store may begin at 0.
 type Version struct {
 	Era    int64 `json:"era,omitempty"`
 	Number int64 `json:"version"`
