Don't let peers prolong an evacuation that the store lacks

An instance that learnt of such an evacuation from a peer counted the ten seconds anew, and its own peers after it, so that restarts could have kept a data centre evacuated for longer, or evacuated it again. The time left is passed on instead. Found by reading; TestPeersShareWhatTheStoreLacks has the case.

--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -100,7 +100,7 @@
 
 // retained returns what this instance keeps in force although a restored store lacks it. Instances that start meanwhile read only what the
 // store has, so they learn of it from their peers.
-func (c *Coordinator) retained() []storer.Event {
+func (c *Coordinator) retained(now time.Time) []storer.Event {
 	var events []storer.Event
 	if c.rulesRetained {
 		events = append(events, storer.Event{
@@ -108,19 +108,29 @@
 			Object: c.rulesObject,
 		})
 	}
-	for _, centre := range c.catalogue.Lapsing() {
+	for centre, end := range c.catalogue.Lapsing() {
+		// A struct of a number can always be encoded.
+		value, _ := json.Marshal(retainedEvacuation{
+			Left: end.Sub(now),
+		})
 		events = append(events, storer.Event{
 			Type: storer.EventPut,
 			Object: storer.Object{
 				Kind:  c.options.Format.EvacuationKind,
 				Name:  string(centre),
-				Value: json.RawMessage("{}"),
+				Value: value,
 			},
 		})
 	}
 	return events
 }
 
+// retainedEvacuation is the value of an evacuation that a peer retains.
+type retainedEvacuation struct {
+	// Left is how long it stays in force unless it is requested again; peers must not prolong it.
+	Left time.Duration `json:"left"`
+}
+
 // shareAllRetained sends what this instance retains to its leader, or to all followers.
 func (c *Coordinator) shareAllRetained() {
 	if c.leader != nil {
@@ -134,7 +144,7 @@
 
 // shareRetained sends what this instance retains, if anything, to peers.
 func (c *Coordinator) shareRetained(peers ...*link) {
-	events := c.retained()
+	events := c.retained(c.options.Clock.Now())
 	if len(events) == 0 {
 		return
 	}
@@ -185,12 +195,14 @@
 }
 
 func (c *Coordinator) adoptEvacuation(now time.Time, o storer.Object) bool {
-	centre := namer.DataCentre(o.Name)
-	if c.catalogue.Evacuated(centre) {
+	var evacuation retainedEvacuation
+	if err := json.Unmarshal(o.Value, &evacuation); err != nil {
+		c.options.Log.Error().Err(err).Msg("coordinator: evacuation of a peer not readable")
+		return false
+	}
+	if evacuation.Left <= 0 || !c.catalogue.EvacuateUntil(namer.DataCentre(o.Name), now.Add(evacuation.Left)) {
 		return false
 	}
-	c.catalogue.Evacuate(centre, true)
-	c.catalogue.LapseEvacuation(now, centre)
 	c.options.Log.Info().Str("data_centre", o.Name).Msg("coordinator: evacuation of a peer in force, the store lacks it")
 	return true
 }
--- a/internal/coordinator/era_test.go
+++ b/internal/coordinator/era_test.go
@@ -91,13 +91,16 @@
 	}
 	var message objectsMessage
 	c.applyChange(now, removal(event(kindEvacuations, "pier", struct{}{}, 1, 32), 2, 20))
-	if err := json.Unmarshal(c.encodeObjects(c.retained(), false), &message); err != nil {
+	if err := json.Unmarshal(c.encodeObjects(c.retained(now), false), &message); err != nil {
 		t.Fatal(err)
 	}
 	started.handleRetained(now, &link{}, message)
 	assertRules(t, started, 9)
 	started.applyChange(now, targetEvent("a", 2, 21))
 	assertUsable(t, started, false)
+	if end := started.catalogue.Lapsing()["pier"]; !end.Equal(c.catalogue.Lapsing()["pier"]) {
+		t.Errorf("the evacuation ends at %v, later than where it was retained first", end)
+	}
 	started.applyChange(now, rulesEvent(10, 2, 24))
 	assertRules(t, started, 10)
 	if started.rulesRetained {
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"bergamothollow.example/bergamothollow/pkg/namer"
@@ -180,11 +179,6 @@
 	delete(c.evacuated, centre)
 }
 
-// Evacuated reports whether a data centre is evacuated.
-func (c *Cataloguer) Evacuated(centre namer.DataCentre) bool {
-	return c.evacuated[centre]
-}
-
 // LapseEvacuation ends an evacuation that a restored store lacks, unless it is requested again in time.
 func (c *Cataloguer) LapseEvacuation(now time.Time, centre namer.DataCentre) {
 	if c.evacuated[centre] {
@@ -192,9 +186,19 @@
 	}
 }
 
-// Lapsing returns the data centres whose evacuation a restored store lacks, and which stay evacuated for now.
-func (c *Cataloguer) Lapsing() []namer.DataCentre {
-	return slices.Sorted(maps.Keys(c.endAt))
+// EvacuateUntil starts an evacuation that ends at a time unless it is requested, and reports whether there was none.
+func (c *Cataloguer) EvacuateUntil(centre namer.DataCentre, end time.Time) bool {
+	if c.evacuated[centre] {
+		return false
+	}
+	c.evacuated[centre] = true
+	c.endAt[centre] = end
+	return true
+}
+
+// Lapsing returns the data centres whose evacuation a restored store lacks, and when these evacuations end.
+func (c *Cataloguer) Lapsing() map[namer.DataCentre]time.Time {
+	return maps.Clone(c.endAt)
 }
 
 // Tick removes targets that have not registered again in time, ends evacuations that were not requested again, and gives work again to
--- a/pkg/cataloguer/cataloguer_test.go
+++ b/pkg/cataloguer/cataloguer_test.go
@@ -143,9 +143,15 @@
 		c.Tick(start.Add(11 * time.Second))
 		assertUsable(t, c, "a", false)
 		c.LapseEvacuation(start, "pier")
-		if lapsing := c.Lapsing(); len(lapsing) != 1 || lapsing[0] != "pier" {
-			t.Errorf("lapsing: %v", lapsing)
+		other := newFixture()
+		for centre, end := range c.Lapsing() {
+			if !other.EvacuateUntil(centre, end) || other.EvacuateUntil(centre, end.Add(time.Hour)) {
+				t.Error("the evacuation wasn't taken over once")
+			}
 		}
+		assertUsable(t, other, "a", false)
+		other.Tick(start.Add(11 * time.Second))
+		assertUsable(t, other, "a", true)
 		c.Tick(start.Add(11 * time.Second))
 		assertUsable(t, c, "a", true)
 	})
