--- a/internal/coordinator/isolation_test.go
+++ b/internal/coordinator/isolation_test.go
@@ -70,16 +70,39 @@
 	})
 }
 
+// storesIsolation reports whether the store holds one isolated part.
+func storesIsolation(store watchableStore) bool {
+	object, err := store.Get(context.Background(), kindLeaders, pointerName)
+	var stored storedPointer
+	return err == nil && json.Unmarshal(object.Value, &stored) == nil && len(stored.Isolated) == 1
+}
+
+// Guards against an isolation that is lost with a store that was restored from a copy: the leader writes it again.
+func TestIsolationOfRestoredStore(t *testing.T) {
+	store := newStore()
+	store.Restore(store.Copy())
+	fleet := startFleet(t, store, 2)
+	kept := store.Copy()
+	reportCrashes("deadly", fleet...)
+	eventually(t, isolationBound, "the part is stored", func() bool { return storesIsolation(store) })
+	store.Restore(kept)
+	if storesIsolation(store) {
+		t.Fatal("the copy has the isolation")
+	}
+	eventually(t, isolationBound, "the part is stored again", func() bool { return storesIsolation(store) })
+	for _, i := range fleet {
+		if !i.isolates("deadly") {
+			t.Error("an instance has lost the isolation")
+		}
+	}
+}
+
 // Guards against an isolation that is lost with the processes that know it: all instances lose power at once.
 func TestIsolationOutlastsAllInstances(t *testing.T) {
 	store := newStore()
 	fleet := startFleet(t, store, 2)
 	reportCrashes("deadly", fleet...)
-	eventually(t, isolationBound, "the part is stored", func() bool {
-		object, err := store.Get(context.Background(), kindLeaders, pointerName)
-		var stored storedPointer
-		return err == nil && json.Unmarshal(object.Value, &stored) == nil && len(stored.Isolated) == 1
-	})
+	eventually(t, isolationBound, "the part is stored", func() bool { return storesIsolation(store) })
 	for _, i := range fleet {
 		i.stop()
 	}
