--- a/internal/coordinator/isolation_test.go
+++ b/internal/coordinator/isolation_test.go
@@ -20,13 +20,16 @@
 	return found
 }
 
-// reportCrashes reports as many crashes on a part as the default settings need, one at each of the instances in turn.
-func reportCrashes(part namer.Part, instances ...instance) {
+// deadlyPart is the part of prompts that crashes engines.
+const deadlyPart namer.Part = "deadly"
+
+// reportCrashes reports as many crashes on deadlyPart as the default settings need, one at each of the instances in turn.
+func reportCrashes(instances ...instance) {
 	for n := range isolator.DefaultSettings().MinCrashes {
 		instances[n%len(instances)].Crashed(isolator.Crash{
-			Engine:  namer.Target(fmt.Sprint("engine-", part, n)),
-			Request: namer.Request(fmt.Sprint("request-", part, n)),
-			Parts:   []namer.Part{"first", part},
+			Engine:  namer.Target(fmt.Sprint("engine-", deadlyPart, n)),
+			Request: namer.Request(fmt.Sprint("request-", deadlyPart, n)),
+			Parts:   []namer.Part{"first", deadlyPart},
 		})
 		instances[0].Sound([]namer.Part{"first"})
 		time.Sleep(2 * isolator.DefaultSettings().MinSpacing)
@@ -51,21 +54,21 @@
 func TestIsolationReachesAllInstances(t *testing.T) {
 	store := newStore()
 	fleet := startFleet(t, store, 4)
-	reportCrashes("deadly", fleet...)
+	reportCrashes(fleet...)
 	for _, i := range fleet {
-		eventually(t, isolationBound, "the part is isolated", func() bool { return i.isolates("deadly") })
+		eventually(t, isolationBound, "the part is isolated", func() bool { return i.isolates(deadlyPart) })
 		if i.isolates("first") {
 			t.Error("a sound part is isolated")
 		}
 	}
 	t.Run("an instance that starts later", func(t *testing.T) {
 		late := startInstance(t, store, 9)
-		eventually(t, 5*time.Second, "the part is isolated", func() bool { return late.isolates("deadly") })
+		eventually(t, 5*time.Second, "the part is isolated", func() bool { return late.isolates(deadlyPart) })
 	})
 	t.Run("an answer with the part ends it everywhere", func(t *testing.T) {
-		fleet[3].Sound([]namer.Part{"deadly"})
+		fleet[3].Sound([]namer.Part{deadlyPart})
 		for _, i := range fleet {
-			eventually(t, isolationBound, "the part is no longer isolated", func() bool { return !i.isolates("deadly") })
+			eventually(t, isolationBound, "the part is no longer isolated", func() bool { return !i.isolates(deadlyPart) })
 		}
 	})
 }
@@ -83,7 +86,7 @@
 	store.Restore(store.Copy())
 	fleet := startFleet(t, store, 2)
 	kept := store.Copy()
-	reportCrashes("deadly", fleet...)
+	reportCrashes(fleet...)
 	eventually(t, isolationBound, "the part is stored", func() bool { return storesIsolation(store) })
 	store.Restore(kept)
 	if storesIsolation(store) {
@@ -91,7 +94,7 @@
 	}
 	eventually(t, isolationBound, "the part is stored again", func() bool { return storesIsolation(store) })
 	for _, i := range fleet {
-		if !i.isolates("deadly") {
+		if !i.isolates(deadlyPart) {
 			t.Error("an instance has lost the isolation")
 		}
 	}
@@ -101,13 +104,13 @@
 func TestIsolationOutlastsAllInstances(t *testing.T) {
 	store := newStore()
 	fleet := startFleet(t, store, 2)
-	reportCrashes("deadly", fleet...)
+	reportCrashes(fleet...)
 	eventually(t, isolationBound, "the part is stored", func() bool { return storesIsolation(store) })
 	for _, i := range fleet {
 		i.stop()
 	}
 	after := startInstance(t, store, 7)
-	eventually(t, 5*time.Second, "the part is isolated", func() bool { return after.isolates("deadly") })
+	eventually(t, 5*time.Second, "the part is isolated", func() bool { return after.isolates(deadlyPart) })
 }
 
 // Guards against an isolation that only one instance has found, while it was cut off from the leader: it brings it along when it joins.
@@ -115,7 +118,7 @@
 	fleet := newFleetLeader(t)
 	fleet.join(t, 1)
 	params, err := json.Marshal(isolationsMessage{
-		Isolations: []isolationEntry{{Part: "deadly", Left: time.Hour, Hold: time.Hour}},
+		Isolations: []isolationEntry{{Part: deadlyPart, Left: time.Hour, Hold: time.Hour}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -123,7 +126,7 @@
 	queued := len(fleet.links[0].sendQueue)
 	fleet.leader.handlePeerMessage(fleet.clock.now, peerMessage{link: fleet.links[0], method: methodIsolated, params: params})
 	fleet.leader.publish()
-	if _, found := fleet.leader.View().Isolated["deadly"]; !found {
+	if _, found := fleet.leader.View().Isolated[deadlyPart]; !found {
 		t.Error("the leader doesn't isolate the part")
 	}
 	if len(fleet.links[0].sendQueue) == queued {
@@ -151,12 +154,12 @@
 			Arrived:       now,
 			TargetLatency: time.Minute,
 			Deadline:      now.Add(time.Minute),
-		}, []namer.Part{"first", "deadly"})
+		}, []namer.Part{"first", deadlyPart})
 		if err == nil {
 			decisions <- d
 		}
 	}()
-	reportCrashes("deadly", fleet...)
+	reportCrashes(fleet...)
 	select {
 	case d := <-decisions:
 		if refused, found := d.(scheduler.Refuse); !found || refused.Reason != scheduler.CrashesEngines || refused.RetryAfter <= 0 {
