Leave out windows that a lost holder may have reported

What the platform saw: after a drill of the store, a usage report of a window that it had already, with other counts. Cause: a holder makes the counts of a window final by a write of its record, and sends them. If the restored store lacks that write, and the holder is gone or no longer leads, its successor knows neither from the record nor from the holder's pongs that the window is final, and closes it again with the counts that it knows itself. The longer the copy's age, the more windows.

Change: pkg/warden tells with a write that takes the duties from a holder of a former era whether the record of the last holder may be lost (Write.Lost); the holder itself goes on as before. The successor then leaves out all windows that had ended when it first saw the era, but for those whose final counts the copy has. A window that is left out is missing from the reports, and logged; one with two contents is worse.

TestLostRecord in pkg/warden.

--- a/internal/coordinator/duty.go
+++ b/internal/coordinator/duty.go
@@ -114,6 +114,8 @@
 	leadingSince time.Time
 	lost         map[string]time.Time
 	storedBytes  int
+	// firstOpen is the first window that no instance had closed when this one first saw the present era of the store.
+	firstOpen int64
 }
 
 // newDuties returns the state at the start.
--- a/internal/coordinator/duty_record.go
+++ b/internal/coordinator/duty_record.go
@@ -58,6 +58,9 @@
 	case warden.Write:
 		var state tallier.State
 		if c.options.Duties.Usage {
+			if a.Lost {
+				c.skipLostWindows()
+			}
 			state = d.tallier.Propose(c.trueTime(), c.countsKnown(now))
 		}
 		go c.writeDuties(ctx, a.Record, state)
--- a/internal/coordinator/duty_test.go
+++ b/internal/coordinator/duty_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -112,6 +113,20 @@
 	}
 }
 
+// holder returns the index of the instance that acted last.
+func (f *usageFleet) holder() int {
+	f.reports.mu.Lock()
+	defer f.reports.mu.Unlock()
+	last := f.reports.acts[len(f.reports.acts)-1].Holder
+	return slices.IndexFunc(f.instances, func(i instance) bool { return i.options.Self.Instance == last })
+}
+
+// waitForWindow waits until a window has just begun and returns it; the one before isn't final yet.
+func (f *usageFleet) waitForWindow() int64 {
+	time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second + 20*time.Millisecond)))
+	return time.Now().Unix()
+}
+
 // assertNoFaults checks that no window had two contents and no fence two holders, and returns the holder that acted last.
 func (f *usageFleet) assertNoFaults(t *testing.T) namer.Instance {
 	t.Helper()
@@ -143,7 +158,8 @@
 }
 
 // Guards against windows that are reported again with other contents, and against two holders or a fence that was used, after the store was
-// restored from a copy that lacks final counts and the holder's lease.
+// restored from a copy that lacks final counts and the holder's lease. The holder goes on with all windows; a successor can't know which of
+// those that had ended were reported.
 func TestUsageOfRestoredStore(t *testing.T) {
 	for _, killed := range []bool{false, true} {
 		t.Run(fmt.Sprint("holder killed: ", killed), func(t *testing.T) {
@@ -153,14 +169,20 @@
 			kept := f.store.Copy()
 			f.count(150, f.instances...)
 			others := f.instances
+			open := f.waitForWindow()
 			if killed {
-				f.instances[0].stop()
-				others = f.instances[1:]
+				holder := f.holder()
+				f.instances[holder].stop()
+				others = slices.Delete(slices.Clone(f.instances), holder, holder+1)
 			}
 			f.store.Restore(kept)
 			f.reports.mu.Lock()
 			before := len(f.reports.contents)
+			_, known := f.reports.contents[open-1]
 			f.reports.mu.Unlock()
+			if known {
+				t.Fatal("the last window was reported before the store was restored")
+			}
 			f.count(150, others...)
 			eventually(t, 15*time.Second, "usage reported again", func() bool {
 				f.reports.mu.Lock()
@@ -168,6 +190,9 @@
 				return len(f.reports.contents) >= before+3
 			})
 			f.assertNoFaults(t)
+			if _, reported := f.reports.contents[open-1]; reported == killed {
+				t.Errorf("the window that had just ended was reported: %v", reported)
+			}
 			if sum := f.reports.total("x"); sum > f.counted {
 				t.Errorf("%d requests reported of %d", sum, f.counted)
 			}
--- a/internal/coordinator/duty_usage.go
+++ b/internal/coordinator/duty_usage.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// skipLostWindows leaves out the windows of which the last holder may have sent reports that a restored store lacks. Their counts at this
+// instance may differ, and a window must not be reported with two contents.
+func (c *Coordinator) skipLostWindows() {
+	d := &c.duties
+	next := d.tallier.Next()
+	if next >= d.firstOpen {
+		return
+	}
+	d.tallier.Skip(d.firstOpen)
+	if next > 0 {
+		c.options.Log.Warn().Int64("from", next).Int64("next", d.firstOpen).
+			Msg("duties: the former holder's record is lost, windows that it may have reported are left out")
+	}
+}
+
 // hearTime records the time that a peer has sent.
 func (c *Coordinator) hearTime(l *link, sent int64) {
 	if sent != 0 && c.sentTime() != 0 {
--- a/internal/coordinator/era.go
+++ b/internal/coordinator/era.go
@@ -24,6 +24,7 @@
 	c.viewOutdated = true
 	if c.duties.warden != nil {
 		c.duties.warden.EnterEra(c.options.Duties.Elapsed(), v.Era)
+		c.duties.firstOpen = c.duties.tallier.FirstOpen(c.trueTime())
 	}
 	if former == 0 {
 		// The first answer of a store that states its era.
--- a/pkg/tallier/tallier.go
+++ b/pkg/tallier/tallier.go
@@ -105,6 +105,11 @@
 	return now.UnixNano() / int64(t.settings.Window)
 }
 
+// FirstOpen returns the first window that no process has closed at a time, also if its clock is ahead.
+func (t *Tallier) FirstOpen(now time.Time) int64 {
+	return t.window(now.Add(maxDifference - t.settings.Settle))
+}
+
 // End returns when a window ends.
 func (t *Tallier) End(window int64) time.Time {
 	return time.Unix(0, (window+1)*int64(t.settings.Window))
@@ -254,7 +259,7 @@
 	return t.next
 }
 
-// Skip records that the counts of all windows before next are final, so that this process never determines them again.
+// Skip records that the counts of all windows before next are final, or may be, so that this process never determines them again.
 func (t *Tallier) Skip(next int64) {
 	t.next = max(t.next, next)
 }
--- a/pkg/warden/warden.go
+++ b/pkg/warden/warden.go
@@ -51,6 +51,9 @@
 // Write writes the record if the store still has its version; the caller must report Written, Seen or Failed.
 type Write struct {
 	Record Record
+	// Lost is set if the restored store may lack the last holder and what it stored: this process takes the duties from a holder of a
+	// former era, and wasn't the last one itself.
+	Lost bool
 }
 
 func (Read) action()  {}
@@ -158,7 +161,9 @@
 	case mine:
 		return w.write(w.record.Fence, false)
 	case w.continues && !ofEra && now < w.leaseEnd(), waited, ofEra && (w.record.Released || !w.record.Version.Exists()):
-		return w.write(max(w.highest+1, firstFence(w.era)), false)
+		write := w.write(max(w.highest+1, firstFence(w.era)), false)
+		write.Lost = !ofEra && !w.continues
+		return write
 	default:
 		return nil
 	}
@@ -177,7 +182,7 @@
 	return w.write(w.record.Fence, true)
 }
 
-func (w *Warden) write(fence int64, released bool) Action {
+func (w *Warden) write(fence int64, released bool) Write {
 	return Write{
 		Record: Record{
 			Version:  w.record.Version,
--- a/pkg/warden/warden_test.go
+++ b/pkg/warden/warden_test.go
@@ -346,3 +346,43 @@
 		})
 	}
 }
+
+// Guards against windows that are reported with two contents: a successor must learn that a restored store may lack what the last holder
+// stored, while that holder itself goes on.
+func TestLostRecord(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		machine int
+		lost    bool
+	}{
+		{name: "the holder goes on", machine: 0},
+		{name: "a successor takes the duties", machine: 1, lost: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := &world{
+				now:       time.Second,
+				era:       1,
+				processes: make([]*process, 2),
+			}
+			w.start(0)
+			w.start(1)
+			w.settle(w.processes[0], 2*lease)
+			w.era++
+			w.store.Version = versioner.Version{Era: w.era, Number: 1}
+			p := w.processes[test.machine]
+			p.EnterEra(w.now, w.era)
+			for end := w.now + 2*lease; w.now < end; w.now += lease / 100 {
+				switch a := p.Tick(w.now, p.wish).(type) {
+				case Read:
+					p.Seen(w.now, w.store)
+				case Write:
+					if a.Lost != test.lost {
+						t.Errorf("lost: %v, expected %v", a.Lost, test.lost)
+					}
+					return
+				}
+			}
+			t.Error("the duties weren't taken")
+		})
+	}
+}
