--- a/pkg/warden/warden_test.go
+++ b/pkg/warden/warden_test.go
@@ -246,6 +246,18 @@
 	}
 }
 
+// startTwo returns a world with two processes, in an era of the store.
+func startTwo(era int64) *world {
+	w := &world{
+		now:       time.Second,
+		era:       era,
+		processes: make([]*process, 2),
+	}
+	w.start(0)
+	w.start(1)
+	return w
+}
+
 // settle runs a process for a time with a store that answers at once.
 func (w *world) settle(p *process, d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += lease / 100 {
@@ -273,12 +285,7 @@
 
 // Guards against a former holder that follows its successor too soon, after both have given up in good order.
 func TestNoReturnWithinLease(t *testing.T) {
-	w := &world{
-		now:       time.Second,
-		processes: make([]*process, 2),
-	}
-	w.start(0)
-	w.start(1)
+	w := startTwo(0)
 	first, second := w.processes[0], w.processes[1]
 	second.wish.Hold = false
 	w.settle(first, 2*lease)
@@ -312,13 +319,7 @@
 		{name: "the other process", record: func(other string) Record { return Record{Holder: other, Fence: 1} }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			w := &world{
-				now:       time.Second,
-				era:       1,
-				processes: make([]*process, 2),
-			}
-			w.start(0)
-			w.start(1)
+			w := startTwo(1)
 			holder, other := w.processes[0], w.processes[1]
 			w.settle(holder, 2*lease)
 			former, _, _ := holder.Turn(w.now)
@@ -359,13 +360,7 @@
 		{name: "a successor takes the duties", machine: 1, lost: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			w := &world{
-				now:       time.Second,
-				era:       1,
-				processes: make([]*process, 2),
-			}
-			w.start(0)
-			w.start(1)
+			w := startTwo(1)
 			w.settle(w.processes[0], 2*lease)
 			w.era++
 			w.store.Version = versioner.Version{Era: w.era, Number: 1}
